--- /dev/null
+++ b/savorycore/savorychain/service.go
@@ -0,0 +1,77 @@
+package savorychain
+
+// This file defines the choice of a server for a plain service.
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// ErrNoServer says that no usable server runs a service.
+var ErrNoServer = errors.New("no backend server is available")
+
+// ServiceChoice is the server chosen for a request to a plain service.
+type ServiceChoice struct {
+	Server *savoryworld.BackendServer
+	// RunnerUp is the second best server; it may be nil.
+	RunnerUp *savoryworld.BackendServer
+}
+
+// ChooseService returns the server of a plain service with the fewest requests
+// of this entry in flight, in the entry's own zone if two are equal, or
+// ErrNoServer. Servers in avoid are never chosen; suspected ones only if there
+// is no other.
+func (t *Table) ChooseService(service string, avoid []string, now time.Time) (ServiceChoice, error) {
+	var states []*serverState
+	for _, server := range t.snapshot.ServiceServers(service) {
+		s := t.states[server.Name]
+		if s != nil && !s.leaves() && !slices.Contains(avoid, server.Name) {
+			states = append(states, s)
+		}
+	}
+	if len(states) == 0 {
+		return ServiceChoice{}, fmt.Errorf("service %s: %w", service, ErrNoServer)
+	}
+	t.Rand.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
+	slices.SortStableFunc(states, func(a, b *serverState) int { return t.compareService(a, b, now) })
+	choice := ServiceChoice{Server: states[0].server}
+	if len(states) > 1 {
+		choice.RunnerUp = states[1].server
+	}
+	return choice, nil
+}
+
+// compareService orders servers: trusted before suspected, few requests before
+// many, near before far.
+func (t *Table) compareService(a, b *serverState, now time.Time) int {
+	if sa, sb := a.suspect(now), b.suspect(now); sa != sb {
+		if sa {
+			return 1
+		}
+		return -1
+	}
+	if a.own.Running != b.own.Running {
+		return a.own.Running - b.own.Running
+	}
+	delay := func(s *serverState) time.Duration { return t.snapshot.Link(t.Zone, s.server.Zone).Delay.D() }
+	return int(delay(a) - delay(b))
+}
+
+// SentService records a request to a plain service, to be paired with
+// FinishedService.
+func (t *Table) SentService(server string) {
+	if s := t.states[server]; s != nil {
+		s.own.Running++
+	}
+}
+
+// FinishedService records the end of a request to a plain service.
+func (t *Table) FinishedService(server string) {
+	if s := t.states[server]; s != nil {
+		s.own.Running = max(0, s.own.Running-1)
+	}
+}
--- /dev/null
+++ b/savorycore/savorychain/status.go
@@ -0,0 +1,32 @@
+package savorychain
+
+// This file defines what a table shows to operators.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ServerStatus is a backend server as this entry sees it.
+type ServerStatus struct {
+	Server    string
+	Leaving   bool
+	Suspected bool
+	// Own is the entry's own work there.
+	Own Work
+	// Estimate is the estimated work of all entries there.
+	Estimate Work
+}
+
+// Status returns the servers of the configuration, by name.
+func (t *Table) Status(now time.Time) []ServerStatus {
+	status := make([]ServerStatus, 0, len(t.states))
+	for name, s := range t.states {
+		status = append(status, ServerStatus{
+			Server: name, Leaving: s.leaves(), Suspected: s.suspect(now), Own: s.own, Estimate: s.load(now),
+		})
+	}
+	slices.SortFunc(status, func(a, b ServerStatus) int { return cmp.Compare(a.Server, b.Server) })
+	return status
+}
--- /dev/null
+++ b/savorycore/savorychain/table.go
@@ -0,0 +1,228 @@
+// Package savorychain chooses the backend servers that serve a request.
+//
+// A Table belongs to one entry. It holds the engines of the configuration,
+// grouped by the layers that they hold, and what the entry knows of each: the
+// work that it sent itself, the engine's own lagging load reports, and failures
+// seen. Choose finds the chain over all layers with the least estimated time;
+// it looks at a few random engines of each group, so its cost does not grow
+// with the number of engines and entries that share no state do not all pick
+// the same one.
+//
+// The package decides only: it does no I/O, reads no clock, and takes its
+// random numbers from a generator that it is given. A Table is not safe for
+// concurrent use.
+package savorychain
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryhash"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// DefaultSample is the number of engines of a group that one choice looks
+	// at.
+	DefaultSample = 6
+	// DefaultSubset is the number of engines of a group that one entry uses.
+	DefaultSubset = 24
+	// suspectMin and suspectMax bound how long a failed server is avoided; the
+	// time doubles with each failure in a row.
+	suspectMin = 500 * time.Millisecond
+	suspectMax = 30 * time.Second
+	// reportHalfLife is the time in which the part of a load report that
+	// concerns other entries loses half of its weight.
+	reportHalfLife = 2 * time.Second
+)
+
+// Table is the entry's view of the engines. Its exported fields are set before
+// its first use.
+type Table struct {
+	// Entry is the entry's name; it selects the subset of engines.
+	Entry string
+	// Zone is the entry's availability zone.
+	Zone string
+	// Rand gives the random numbers.
+	Rand *rand.Rand
+	// Sample is the number of engines of a group that one choice looks at.
+	Sample int
+	// Subset is the number of engines of a group that the entry uses.
+	Subset int
+
+	snapshot *savoryconfig.Snapshot
+	states   map[string]*serverState
+	groups   map[modelKey][]*group
+	prefixes prefixIndex
+}
+
+// modelKey names a version of a model.
+type modelKey struct {
+	model   string
+	version string
+}
+
+// group is the engines that hold the same layers of one model.
+type group struct {
+	layers  savoryworld.LayerRange
+	members []*serverState
+}
+
+// serverState is what the entry knows of one server.
+type serverState struct {
+	server      *savoryworld.BackendServer
+	accelerator savoryworld.Accelerator
+	leaving     bool
+
+	own      Work
+	report   Work
+	reportAt time.Time
+	// ownThen is the entry's own work when the report came.
+	ownThen Work
+
+	failures     int
+	suspectUntil time.Time
+}
+
+// Work is an amount of work at one engine.
+type Work struct {
+	// Running is the number of requests that generate tokens.
+	Running int
+	// Prompt is the number of prompt tokens that wait to be run.
+	Prompt int
+}
+
+// Load puts the configuration snapshot in force. What is known of servers that
+// remain is kept.
+func (t *Table) Load(snapshot *savoryconfig.Snapshot) {
+	old := t.states
+	t.snapshot = snapshot
+	t.states = make(map[string]*serverState, len(snapshot.Document.BackendServers))
+	byModel := make(map[modelKey]map[savoryworld.LayerRange][]*serverState)
+	for i := range snapshot.Document.BackendServers {
+		server := &snapshot.Document.BackendServers[i]
+		state := keepState(old[server.Name], server)
+		state.accelerator = snapshot.Accelerator(server.Accelerator)
+		t.states[server.Name] = state
+		if !server.IsEngine() {
+			continue
+		}
+		key := modelKey{server.Model, server.Version}
+		if byModel[key] == nil {
+			byModel[key] = make(map[savoryworld.LayerRange][]*serverState)
+		}
+		byModel[key][server.Layers] = append(byModel[key][server.Layers], state)
+	}
+	t.groups = make(map[modelKey][]*group, len(byModel))
+	for key, ranges := range byModel {
+		t.groups[key] = t.makeGroups(ranges)
+	}
+}
+
+// keepState returns the state for server, with what old knew if it is the same
+// process.
+func keepState(old *serverState, server *savoryworld.BackendServer) *serverState {
+	if old == nil || old.server.Address != server.Address {
+		return &serverState{server: server}
+	}
+	old.server = server
+	return old
+}
+
+// makeGroups orders the groups by their first layer and cuts each to the
+// entry's subset.
+func (t *Table) makeGroups(ranges map[savoryworld.LayerRange][]*serverState) []*group {
+	groups := make([]*group, 0, len(ranges))
+	for layers, members := range ranges {
+		key := t.Entry + " " + layers.String()
+		subset := savoryhash.Top(key, members, func(s *serverState) string { return s.server.Name }, t.Subset)
+		groups = append(groups, &group{layers: layers, members: subset})
+	}
+	slices.SortFunc(groups, func(a, b *group) int {
+		if a.layers.From != b.layers.From {
+			return a.layers.From - b.layers.From
+		}
+		return a.layers.To - b.layers.To
+	})
+	return groups
+}
+
+// SetLeaving marks a server as leaving or not, beyond what the configuration
+// says of it.
+func (t *Table) SetLeaving(server string, leaving bool) {
+	if s := t.states[server]; s != nil {
+		s.leaving = leaving
+	}
+}
+
+// Failed records that a server failed a request at now. The server is avoided
+// for a time that doubles with each failure in a row.
+func (t *Table) Failed(server string, now time.Time) {
+	s := t.states[server]
+	if s == nil {
+		return
+	}
+	pause := min(suspectMin<<min(s.failures, 10), suspectMax)
+	s.failures++
+	s.suspectUntil = now.Add(pause)
+}
+
+// Succeeded records that a server made progress.
+func (t *Table) Succeeded(server string) {
+	if s := t.states[server]; s != nil {
+		s.failures = 0
+		s.suspectUntil = time.Time{}
+	}
+}
+
+// Sent records that the entry sent a request with a prompt of tokens along
+// chain. The caller pairs it with PromptDone and Finished.
+func (t *Table) Sent(chain []savoryengine.Hop, tokens int) {
+	t.eachState(chain, func(s *serverState) {
+		s.own.Running++
+		s.own.Prompt += tokens
+	})
+}
+
+// PromptDone records that the prompt of a sent request was run, or that the
+// request ended before.
+func (t *Table) PromptDone(chain []savoryengine.Hop, tokens int) {
+	t.eachState(chain, func(s *serverState) { s.own.Prompt = max(0, s.own.Prompt-tokens) })
+}
+
+// Finished records that a sent request ended.
+func (t *Table) Finished(chain []savoryengine.Hop) {
+	t.eachState(chain, func(s *serverState) { s.own.Running = max(0, s.own.Running-1) })
+}
+
+// Report takes an engine's load report that came at now.
+func (t *Table) Report(load savoryengine.Load, now time.Time) {
+	s := t.states[load.Server]
+	if s == nil {
+		return
+	}
+	s.report = Work{Running: load.Running, Prompt: load.Queued}
+	s.reportAt = now
+	s.ownThen = s.own
+}
+
+// RemainsInUse reports whether a server may be given new work.
+func (t *Table) RemainsInUse(server string) bool {
+	s := t.states[server]
+	return s != nil && !s.leaves()
+}
+
+func (t *Table) eachState(chain []savoryengine.Hop, f func(*serverState)) {
+	for _, hop := range chain {
+		if s := t.states[hop.Server]; s != nil {
+			f(s)
+		}
+	}
+}
+
+func (s *serverState) leaves() bool { return s.leaving || s.server.Leaving }
+
+func (s *serverState) suspect(now time.Time) bool { return now.Before(s.suspectUntil) }
--- /dev/null
+++ b/savorycore/savoryclaim/attempt.go
@@ -0,0 +1,214 @@
+package savoryclaim
+
+// This file defines Attempt, the state machine of one request at one entry.
+
+import (
+	"net/http"
+	"time"
+
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+const (
+	// SendWithin is the longest time between the claim and the sending. An
+	// entry that was paused for longer gives the claim back.
+	SendWithin = 30 * time.Second
+	// busyRetry is when a caller may ask again about a request in flight.
+	busyRetry = 2 * time.Second
+	// outRetry is when a caller may ask again after a store outage.
+	outRetry = 5 * time.Second
+)
+
+// ActionKind says what the plumbing does next.
+type ActionKind int
+
+// The kinds of actions.
+const (
+	// Create writes Record if the key is absent, then calls Created.
+	Create ActionKind = iota
+	// Send sends the request to the backend server, then calls Sent.
+	Send
+	// Finish writes Record over revision Old, then calls Settled.
+	Finish
+	// Release deletes the key at revision Old, then calls Settled.
+	Release
+	// Reply answers the caller; it is the last action.
+	Reply
+)
+
+// Action is the next step of an attempt.
+type Action struct {
+	Kind ActionKind
+	// Record is what Create and Finish write.
+	Record *Record
+	// Old is the revision that Finish and Release expect.
+	Old int64
+	// Answer is what Reply returns to the caller, if Err is nil.
+	Answer *Answer
+	// Replayed says that Answer was recorded by an earlier request.
+	Replayed bool
+	// Err is the error that Reply returns to the caller.
+	Err *savoryverdict.Error
+}
+
+// StoreAnswer is the outcome of a write to the store.
+type StoreAnswer struct {
+	// Failed says that the store gave no answer; the write may have been
+	// applied unless Untouched.
+	Failed    bool
+	Untouched bool
+	// Won says that the write was applied, at Revision.
+	Won      bool
+	Revision int64
+	// Current is the record that stands in the way; nil if the key is absent.
+	Current *Record
+	// CurrentRevision is the revision of Current.
+	CurrentRevision int64
+}
+
+// SendAnswer is the outcome of sending the request.
+type SendAnswer struct {
+	// Answer is the backend server's answer, if it came whole.
+	Answer *Answer
+	// TooLarge says that the answer went to the caller but is not recorded.
+	TooLarge bool
+	// Err is the failure if no answer came.
+	Err *savoryverdict.Error
+}
+
+// Attempt is one request under a key at one entry. Its exported fields are set
+// before Start.
+type Attempt struct {
+	Identity Identity
+	Entry    string
+	// Nonce must differ from that of any other attempt.
+	Nonce string
+	// Forward sends the request without a record when the store is out.
+	Forward bool
+	// StoreTries is the number of times that Create is tried.
+	StoreTries int
+
+	started  time.Time
+	tries    int
+	maybeOwn bool
+	// forwarded says that the request was sent without a record.
+	forwarded bool
+	revision  int64
+	reply     Action
+}
+
+// Start returns the first action.
+func (a *Attempt) Start(now time.Time) Action {
+	a.started = now
+	return a.create(now)
+}
+
+// Created takes the outcome of Create at now.
+func (a *Attempt) Created(s StoreAnswer, now time.Time) Action {
+	if s.Failed {
+		return a.createFailed(s, now)
+	}
+	if s.Won {
+		return a.own(s.Revision, now)
+	}
+	if s.Current == nil {
+		// The key was deleted between the comparison and the read.
+		return a.create(now)
+	}
+	if s.Current.Nonce == a.Nonce {
+		// An earlier Create of this attempt was applied; its answer was lost.
+		return a.own(s.CurrentRevision, now)
+	}
+	return a.judge(s.Current)
+}
+
+// Sent takes the outcome of Send.
+func (a *Attempt) Sent(s SendAnswer, now time.Time) Action {
+	if s.Err != nil {
+		a.reply = Action{Kind: Reply, Err: s.Err}
+		if s.Err.Verdict == savoryverdict.NotRun && a.revision != 0 {
+			return Action{Kind: Release, Old: a.revision}
+		}
+		return a.reply
+	}
+	a.reply = Action{Kind: Reply, Answer: s.Answer}
+	if a.revision == 0 {
+		return a.reply
+	}
+	record := a.record(now)
+	record.State = Done
+	if !s.TooLarge && s.Answer != nil && len(s.Answer.Body) <= MaxAnswerBytes {
+		record.Answer = s.Answer
+	}
+	return Action{Kind: Finish, Record: record, Old: a.revision}
+}
+
+// Settled takes the outcome of Finish or Release. The reply does not depend on
+// it: a record that stays Claimed makes a retry MayHaveRun, which is weaker
+// but not wrong.
+func (a *Attempt) Settled(StoreAnswer) Action { return a.reply }
+
+// MaybeOwn reports whether a record of this attempt may stand in the store
+// although the request was not sent. The plumbing then reads the key later and
+// deletes the record if its nonce is this attempt's.
+func (a *Attempt) MaybeOwn() bool { return a.maybeOwn && a.revision == 0 && !a.forwarded }
+
+func (a *Attempt) create(now time.Time) Action {
+	a.tries++
+	return Action{Kind: Create, Record: a.record(now)}
+}
+
+func (a *Attempt) record(now time.Time) *Record {
+	return &Record{Identity: a.Identity, Entry: a.Entry, Nonce: a.Nonce, At: now, State: Claimed}
+}
+
+// own is called when the record with this attempt's nonce stands in the store.
+func (a *Attempt) own(revision int64, now time.Time) Action {
+	a.revision = revision
+	if now.Sub(a.started) <= SendWithin {
+		return Action{Kind: Send}
+	}
+	a.reply = Action{Kind: Reply, Err: savoryverdict.Unavailable("ClaimTooOld", busyRetry,
+		"the idempotency key was claimed %s ago; the request was not sent", now.Sub(a.started).Round(time.Second))}
+	return Action{Kind: Release, Old: revision}
+}
+
+func (a *Attempt) createFailed(s StoreAnswer, now time.Time) Action {
+	if !s.Untouched {
+		a.maybeOwn = true
+	}
+	if a.tries < a.StoreTries && now.Sub(a.started) <= SendWithin {
+		return a.create(now)
+	}
+	if a.Forward {
+		a.forwarded = true
+		return Action{Kind: Send}
+	}
+	return Action{Kind: Reply, Err: savoryverdict.Unavailable("StoreOut", outRetry,
+		"the store that holds idempotency keys does not answer; the request was not sent")}
+}
+
+// judge answers a request whose key is held by another claim.
+func (a *Attempt) judge(current *Record) Action {
+	verdict := savoryverdict.MayHaveRun
+	if current.State == Done {
+		verdict = savoryverdict.Ran
+	}
+	refuse := func(status int, code, message string, after time.Duration) Action {
+		return Action{Kind: Reply, Err: &savoryverdict.Error{
+			Verdict: verdict, Status: status, Code: code, Field: "Idempotency-Key", Message: message, RetryAfter: after,
+		}}
+	}
+	switch {
+	case current.Identity != a.Identity:
+		return refuse(http.StatusUnprocessableEntity, "KeyReused",
+			"the key was used for another request; this one was not sent", 0)
+	case current.State == Done && current.Answer != nil:
+		return Action{Kind: Reply, Answer: current.Answer, Replayed: true}
+	case current.State == Done:
+		return refuse(http.StatusConflict, "AlreadyRan", "the request ran; its answer was not recorded", 0)
+	default:
+		return refuse(http.StatusConflict, "KeyClaimed",
+			"a request with this key is in flight or its outcome is not known", busyRetry)
+	}
+}
--- /dev/null
+++ b/savorycore/savoryconfig/document.go
@@ -0,0 +1,217 @@
+// Package savoryconfig defines the configuration document.
+//
+// A Document is one TOML text whose top-level tables are its sections. Each
+// section is owned by one team. In the platform's store a document stands as a
+// Root, which carries the revision and names the buckets of each section by
+// content digest, and the buckets themselves; a change of one record writes
+// one bucket and the root. A Snapshot is a whole checked document with the
+// indexes that requests need; it is never changed after it is built.
+//
+// Imports run one way: document, check, bucket, root, snapshot.
+package savoryconfig
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// Section is the name of a section of the document.
+type Section string
+
+// The sections.
+const (
+	Teams          Section = "Teams"
+	Zones          Section = "Zones"
+	Links          Section = "Links"
+	Accelerators   Section = "Accelerators"
+	Pipelines      Section = "Pipelines"
+	BackendServers Section = "BackendServers"
+	Routes         Section = "Routes"
+	Customers      Section = "Customers"
+)
+
+// Sections returns all sections in the order of the document.
+func Sections() []Section {
+	return []Section{Teams, Zones, Links, Accelerators, Pipelines, BackendServers, Routes, Customers}
+}
+
+// Valid reports whether s names a section.
+func (s Section) Valid() bool { return slices.Contains(Sections(), s) }
+
+// Document is the whole configuration.
+type Document struct {
+	Teams          []savoryworld.Team             `toml:",omitempty" msgpack:",omitempty"`
+	Zones          []savoryworld.AvailabilityZone `toml:",omitempty" msgpack:",omitempty"`
+	Links          []savoryworld.Link             `toml:",omitempty" msgpack:",omitempty"`
+	Accelerators   []savoryworld.Accelerator      `toml:",omitempty" msgpack:",omitempty"`
+	Pipelines      []savoryworld.Pipeline         `toml:",omitempty" msgpack:",omitempty"`
+	BackendServers []savoryworld.BackendServer    `toml:",omitempty" msgpack:",omitempty"`
+	Routes         []savoryworld.Route            `toml:",omitempty" msgpack:",omitempty"`
+	Customers      []savoryworld.Customer         `toml:",omitempty" msgpack:",omitempty"`
+}
+
+// InputError is a fault in a document, with its place in the text.
+type InputError struct {
+	// File names the text.
+	File string
+	// Line counts from 1; 0 means that the fault has no single line.
+	Line int
+	// Field is the path of the key at fault, such as "Customers.timber.KeySHA256".
+	Field string
+	// Message explains the fault.
+	Message string
+}
+
+var _ error = (*InputError)(nil)
+
+// Error returns "file:line: field: message", without the parts not known.
+func (e *InputError) Error() string {
+	text := e.Message
+	if e.Field != "" {
+		text = e.Field + ": " + text
+	}
+	if e.Line > 0 {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, text)
+	}
+	if e.File != "" {
+		return e.File + ": " + text
+	}
+	return text
+}
+
+// Parse reads a document without checking it. Unknown keys and values of the
+// wrong type are an *InputError.
+func Parse(file string, text []byte) (*Document, error) {
+	doc := new(Document)
+	if err := DecodeTOML(file, text, doc); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// DecodeTOML reads text into v and refuses unknown keys. An error is an
+// *InputError that names file, line and key.
+func DecodeTOML(file string, text []byte, v any) error {
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		return inputError(file, "unknown key", &strict.Errors[0])
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		return inputError(file, decode.Error(), decode)
+	}
+	return &InputError{File: file, Message: err.Error()}
+}
+
+func inputError(file, message string, err *toml.DecodeError) *InputError {
+	line, _ := err.Position()
+	field := ""
+	for _, key := range err.Key() {
+		if field != "" {
+			field += "."
+		}
+		field += key
+	}
+	return &InputError{File: file, Line: line, Field: field, Message: message}
+}
+
+// Text returns the document as TOML.
+func (d *Document) Text() ([]byte, error) {
+	text, err := toml.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("write document: %w", err)
+	}
+	return text, nil
+}
+
+// Only returns a document that holds just the section s of d. The section
+// shares its records with d.
+func (d *Document) Only(s Section) *Document {
+	part := new(Document)
+	part.SetSection(s, d)
+	return part
+}
+
+// SetSection replaces the section s of d by that of from.
+func (d *Document) SetSection(s Section, from *Document) {
+	switch s {
+	case Teams:
+		d.Teams = from.Teams
+	case Zones:
+		d.Zones = from.Zones
+	case Links:
+		d.Links = from.Links
+	case Accelerators:
+		d.Accelerators = from.Accelerators
+	case Pipelines:
+		d.Pipelines = from.Pipelines
+	case BackendServers:
+		d.BackendServers = from.BackendServers
+	case Routes:
+		d.Routes = from.Routes
+	case Customers:
+		d.Customers = from.Customers
+	}
+}
+
+// appendDocument adds the records of each section of from to d.
+func (d *Document) appendDocument(from *Document) {
+	d.Teams = append(d.Teams, from.Teams...)
+	d.Zones = append(d.Zones, from.Zones...)
+	d.Links = append(d.Links, from.Links...)
+	d.Accelerators = append(d.Accelerators, from.Accelerators...)
+	d.Pipelines = append(d.Pipelines, from.Pipelines...)
+	d.BackendServers = append(d.BackendServers, from.BackendServers...)
+	d.Routes = append(d.Routes, from.Routes...)
+	d.Customers = append(d.Customers, from.Customers...)
+}
+
+// SectionsIn returns the sections of d that hold a record.
+func (d *Document) SectionsIn() []Section {
+	var in []Section
+	for _, s := range Sections() {
+		if len(d.records(s)) > 0 {
+			in = append(in, s)
+		}
+	}
+	return in
+}
+
+// sort orders the records of each section by name.
+func (d *Document) sort() {
+	sortByName(d.Teams, func(v savoryworld.Team) string { return v.Name })
+	sortByName(d.Zones, func(v savoryworld.AvailabilityZone) string { return v.Name })
+	sortByName(d.Links, func(v savoryworld.Link) string { return v.From + "/" + v.To })
+	sortByName(d.Accelerators, func(v savoryworld.Accelerator) string { return v.Name })
+	sortByName(d.Pipelines, func(v savoryworld.Pipeline) string { return v.Name })
+	sortByName(d.BackendServers, func(v savoryworld.BackendServer) string { return v.Name })
+	sortByName(d.Routes, func(v savoryworld.Route) string { return v.Name })
+	sortByName(d.Customers, func(v savoryworld.Customer) string { return v.Name })
+}
+
+func sortByName[T any](records []T, name func(T) string) {
+	slices.SortFunc(records, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+}
+
+// Owner returns the team that owns section s.
+func (d *Document) Owner(s Section) (savoryworld.Team, bool) {
+	for _, team := range d.Teams {
+		if slices.Contains(team.Sections, string(s)) {
+			return team, true
+		}
+	}
+	return savoryworld.Team{}, false
+}
--- /dev/null
+++ b/savorycore/savoryconfig/root.go
@@ -0,0 +1,213 @@
+package savoryconfig
+
+// This file defines Root, the one value that a change of the configuration
+// compares and swaps.
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// submissionsKept is the number of accepted submissions that a root remembers,
+// so that a writer whose answer was lost can learn whether it was accepted.
+const submissionsKept = 32
+
+// retiredGrace is how long a bucket stays in the store after the last root
+// that named it, for entries that still fetch that root.
+const retiredGrace = time.Hour
+
+// Root names the content of one revision of the document.
+type Root struct {
+	// Revision counts accepted changes and only grows.
+	Revision uint64
+	// AcceptedAt is when the revision was accepted, by the accepting entry's
+	// clock.
+	AcceptedAt time.Time
+	Sections   []SectionRef
+	// Submissions lists the last accepted submissions, newest first.
+	Submissions []Submission
+	// Retired lists buckets that no section names any more.
+	Retired []RetiredBucket
+}
+
+// SectionRef names the buckets of one section.
+type SectionRef struct {
+	Section Section
+	// Revision is the root's revision that last changed the section.
+	Revision uint64
+	Buckets  []BucketID
+}
+
+// Submission is one accepted change.
+type Submission struct {
+	ID       string
+	Revision uint64
+}
+
+// RetiredBucket is a bucket that may be deleted once its grace is over.
+type RetiredBucket struct {
+	ID    BucketID
+	Since time.Time
+}
+
+// ConflictError reports that a section was changed since it was read.
+type ConflictError struct {
+	Section Section
+	// Read is the section's revision that the change was made against.
+	Read uint64
+	// Current is the section's revision now.
+	Current uint64
+}
+
+var _ error = (*ConflictError)(nil)
+
+// Error names both revisions.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("section %s was read at revision %d but is at revision %d", e.Section, e.Read, e.Current)
+}
+
+// EncodeRoot writes r for the store and for peers.
+func EncodeRoot(r *Root) ([]byte, error) { return encode(r) }
+
+// DecodeRoot reads a root.
+func DecodeRoot(body []byte) (*Root, error) {
+	r := new(Root)
+	if err := msgpack.Unmarshal(body, r); err != nil {
+		return nil, fmt.Errorf("root: %w", err)
+	}
+	for _, ref := range r.Sections {
+		if !ref.Section.Valid() {
+			return nil, fmt.Errorf("root: unknown section %q", ref.Section)
+		}
+	}
+	return r, nil
+}
+
+// Section returns the reference to section s, or one without buckets.
+func (r *Root) Section(s Section) SectionRef {
+	for _, ref := range r.Sections {
+		if ref.Section == s {
+			return ref
+		}
+	}
+	return SectionRef{Section: s}
+}
+
+// Accepted returns the revision at which submission id was accepted, or false
+// if r does not remember it.
+func (r *Root) Accepted(id string) (uint64, bool) {
+	for _, s := range r.Submissions {
+		if s.ID == id {
+			return s.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// BucketIDs returns the IDs of all buckets that r names, each once.
+func (r *Root) BucketIDs() []BucketID {
+	seen := make(map[BucketID]bool)
+	var all []BucketID
+	for _, ref := range r.Sections {
+		for _, id := range ref.Buckets {
+			if !seen[id] {
+				seen[id] = true
+				all = append(all, id)
+			}
+		}
+	}
+	return all
+}
+
+// Change replaces one or more sections.
+type Change struct {
+	// Submission names the change; a repeated submission is accepted once.
+	Submission string
+	Parts      []Part
+}
+
+// Part replaces one section.
+type Part struct {
+	Section Section
+	// Read is the revision of the section that the change was made against.
+	Read    uint64
+	Buckets []Bucket
+}
+
+// Apply returns the root that follows r after change at now. A change made
+// against another revision of a section is a *ConflictError.
+func (r *Root) Apply(change Change, now time.Time) (*Root, error) {
+	next := &Root{Revision: r.Revision + 1, AcceptedAt: now}
+	for _, s := range Sections() {
+		next.Sections = append(next.Sections, r.Section(s))
+	}
+	var replaced []BucketID
+	for _, part := range change.Parts {
+		old := r.Section(part.Section)
+		if old.Revision != part.Read {
+			return nil, &ConflictError{Section: part.Section, Read: part.Read, Current: old.Revision}
+		}
+		replaced = append(replaced, old.Buckets...)
+		next.setSection(part)
+	}
+	next.Submissions = append(next.Submissions, Submission{ID: change.Submission, Revision: next.Revision})
+	next.Submissions = append(next.Submissions, r.Submissions...)
+	if len(next.Submissions) > submissionsKept {
+		next.Submissions = next.Submissions[:submissionsKept]
+	}
+	next.Retired = retire(r, next, replaced, now)
+	return next, nil
+}
+
+func (r *Root) setSection(part Part) {
+	ref := SectionRef{Section: part.Section, Revision: r.Revision}
+	for _, b := range part.Buckets {
+		ref.Buckets = append(ref.Buckets, b.ID)
+	}
+	for i := range r.Sections {
+		if r.Sections[i].Section == part.Section {
+			r.Sections[i] = ref
+		}
+	}
+}
+
+// retire returns the replaced buckets that next does not name, and those
+// retired before whose grace is not over.
+func retire(r, next *Root, replaced []BucketID, now time.Time) []RetiredBucket {
+	named := make(map[BucketID]bool)
+	for _, id := range next.BucketIDs() {
+		named[id] = true
+	}
+	var retired []RetiredBucket
+	for _, b := range r.Retired {
+		if !named[b.ID] && now.Sub(b.Since) < retiredGrace {
+			retired = append(retired, b)
+			named[b.ID] = true
+		}
+	}
+	for _, id := range replaced {
+		if !named[id] {
+			retired = append(retired, RetiredBucket{ID: id, Since: now})
+			named[id] = true
+		}
+	}
+	return retired
+}
+
+// Deletable returns the buckets of r whose grace is over at now: they are
+// dropped from the next root, and the writer of that root deletes them.
+func (r *Root) Deletable(now time.Time) []BucketID {
+	named := make(map[BucketID]bool)
+	for _, id := range r.BucketIDs() {
+		named[id] = true
+	}
+	var old []BucketID
+	for _, b := range r.Retired {
+		if now.Sub(b.Since) >= retiredGrace && !named[b.ID] {
+			old = append(old, b.ID)
+		}
+	}
+	return old
+}
--- /dev/null
+++ b/savorycore/savoryconfig/snapshot.go
@@ -0,0 +1,163 @@
+package savoryconfig
+
+// This file defines Snapshot, a document with the indexes that requests need.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// Snapshot is one checked revision of the document. It is read by many
+// goroutines and never changed.
+type Snapshot struct {
+	Root     *Root
+	Document *Document
+
+	byKey        map[string]*savoryworld.Customer
+	customers    map[string]*savoryworld.Customer
+	pipelines    map[string]*savoryworld.Pipeline
+	servers      map[string]*savoryworld.BackendServer
+	byAddress    map[netip.AddrPort]*savoryworld.BackendServer
+	services     map[string][]*savoryworld.BackendServer
+	accelerators map[string]savoryworld.Accelerator
+	zones        map[string]savoryworld.AvailabilityZone
+	links        map[zonePair]savoryworld.Link
+	routes       []*savoryworld.Route
+}
+
+type zonePair struct{ from, to string }
+
+// Assemble builds the snapshot of root from its buckets. A missing bucket, one
+// with other content, or a document that fails its checks is an error.
+func Assemble(root *Root, find func(BucketID) (Bucket, bool)) (*Snapshot, error) {
+	doc := new(Document)
+	for _, id := range root.BucketIDs() {
+		bucket, ok := find(id)
+		if !ok {
+			return nil, fmt.Errorf("revision %d: bucket %s is missing", root.Revision, id)
+		}
+		part, err := bucket.decode()
+		if err != nil {
+			return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+		}
+		doc.appendDocument(part)
+	}
+	doc.sort()
+	if err := doc.Check(); err != nil {
+		return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+	}
+	return NewSnapshot(root, doc), nil
+}
+
+// NewSnapshot indexes a checked document.
+func NewSnapshot(root *Root, doc *Document) *Snapshot {
+	s := &Snapshot{
+		Root:         root,
+		Document:     doc,
+		byKey:        make(map[string]*savoryworld.Customer),
+		customers:    make(map[string]*savoryworld.Customer),
+		pipelines:    make(map[string]*savoryworld.Pipeline),
+		servers:      make(map[string]*savoryworld.BackendServer),
+		byAddress:    make(map[netip.AddrPort]*savoryworld.BackendServer),
+		services:     make(map[string][]*savoryworld.BackendServer),
+		accelerators: make(map[string]savoryworld.Accelerator),
+		zones:        make(map[string]savoryworld.AvailabilityZone),
+		links:        make(map[zonePair]savoryworld.Link),
+	}
+	for i := range doc.Customers {
+		customer := &doc.Customers[i]
+		s.customers[customer.Name] = customer
+		for _, key := range customer.KeySHA256 {
+			s.byKey[key] = customer
+		}
+	}
+	for i := range doc.Pipelines {
+		s.pipelines[doc.Pipelines[i].Name] = &doc.Pipelines[i]
+	}
+	for i := range doc.BackendServers {
+		server := &doc.BackendServers[i]
+		s.servers[server.Name] = server
+		s.byAddress[server.Address] = server
+		if !server.IsEngine() {
+			s.services[server.Service] = append(s.services[server.Service], server)
+		}
+	}
+	for i := range doc.Routes {
+		s.routes = append(s.routes, &doc.Routes[i])
+	}
+	// The longest path goes first, so that the first match is the closest.
+	slices.SortStableFunc(s.routes, func(a, b *savoryworld.Route) int { return len(b.Path) - len(a.Path) })
+	s.indexPlaces(doc)
+	return s
+}
+
+func (s *Snapshot) indexPlaces(doc *Document) {
+	for _, a := range doc.Accelerators {
+		s.accelerators[a.Name] = a
+	}
+	for _, zone := range doc.Zones {
+		s.zones[zone.Name] = zone
+	}
+	for _, link := range doc.Links {
+		s.links[zonePair{link.From, link.To}] = link
+		s.links[zonePair{link.To, link.From}] = link
+	}
+}
+
+// Revision returns the revision of the document.
+func (s *Snapshot) Revision() uint64 { return s.Root.Revision }
+
+// CustomerByKey returns the customer whose key is given, or nil.
+func (s *Snapshot) CustomerByKey(key string) *savoryworld.Customer {
+	sum := sha256.Sum256([]byte(key))
+	return s.byKey[hex.EncodeToString(sum[:])]
+}
+
+// Customer returns the customer of the name, or nil.
+func (s *Snapshot) Customer(name string) *savoryworld.Customer { return s.customers[name] }
+
+// Pipeline returns the pipeline of the name, or nil.
+func (s *Snapshot) Pipeline(name string) *savoryworld.Pipeline { return s.pipelines[name] }
+
+// Server returns the backend server of the name, or nil.
+func (s *Snapshot) Server(name string) *savoryworld.BackendServer { return s.servers[name] }
+
+// ServiceServers returns the backend servers that run a plain service.
+func (s *Snapshot) ServiceServers(service string) []*savoryworld.BackendServer {
+	return s.services[service]
+}
+
+// Accelerator returns the accelerator kind of the name, or the zero value.
+func (s *Snapshot) Accelerator(name string) savoryworld.Accelerator { return s.accelerators[name] }
+
+// Region returns the region of a zone, or "".
+func (s *Snapshot) Region(zone string) string { return s.zones[zone].Region }
+
+// Link returns the link between two zones. Within a zone, and between zones
+// that name no link, it has no delay and no bound on bandwidth.
+func (s *Snapshot) Link(from, to string) savoryworld.Link {
+	return s.links[zonePair{from, to}]
+}
+
+// Route returns the route with the longest path that is a prefix of path, cut
+// at a slash, or nil.
+func (s *Snapshot) Route(path string) *savoryworld.Route {
+	for _, r := range s.routes {
+		prefix := strings.TrimSuffix(r.Path, "/")
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return r
+		}
+	}
+	return nil
+}
+
+// ServerAt returns the backend server with the address, or nil.
+func (s *Snapshot) ServerAt(address netip.AddrPort) *savoryworld.BackendServer {
+	return s.byAddress[address]
+}
--- /dev/null
+++ b/savorycore/savoryhash/rendezvous.go
@@ -0,0 +1,46 @@
+// Package savoryhash picks members of a set by rendezvous hashing: a change of
+// one member moves only the picks that fell on it.
+package savoryhash
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight returns the rendezvous weight of member for key.
+func Weight(key, member string) uint64 {
+	var sum [8]byte
+	binary.LittleEndian.PutUint64(sum[:], xxhash.Sum64String(key))
+	d := xxhash.New()
+	_, _ = d.Write(sum[:])
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// Top returns the n members with the highest weight for key, highest first. It
+// does not change members.
+func Top[M any](key string, members []M, name func(M) string, n int) []M {
+	type weighed struct {
+		member M
+		name   string
+		weight uint64
+	}
+	all := make([]weighed, len(members))
+	for i, m := range members {
+		all[i] = weighed{member: m, name: name(m), weight: Weight(key, name(m))}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		if c := cmp.Compare(b.weight, a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	top := make([]M, 0, min(n, len(all)))
+	for _, w := range all[:min(n, len(all))] {
+		top = append(top, w.member)
+	}
+	return top
+}
--- /dev/null
+++ b/savorycore/savorylimit/budget.go
@@ -0,0 +1,38 @@
+package savorylimit
+
+// This file defines the budget of retries.
+
+import "time"
+
+const (
+	// retriesPerRequest is the part of a retry that each request pays in.
+	retriesPerRequest = 0.1
+	// retriesPerSecond is paid in whatever the load, so that a quiet entry can
+	// still retry.
+	retriesPerSecond = 2
+	// maxRetries bounds what is saved up.
+	maxRetries = 50
+)
+
+// RetryBudget bounds retries to a part of the requests, so that a failing zone
+// is not met with a multiple of the load. The zero value is ready for use; it
+// is not safe for concurrent use.
+type RetryBudget struct {
+	saved bucket
+}
+
+// Request pays a request's part in.
+func (b *RetryBudget) Request(now time.Time) {
+	b.saved.refill(retriesPerSecond, maxRetries, now)
+	b.saved.level = min(maxRetries, b.saved.level+retriesPerRequest)
+}
+
+// Retry reports whether a retry is allowed at now, and takes it.
+func (b *RetryBudget) Retry(now time.Time) bool {
+	b.saved.refill(retriesPerSecond, maxRetries, now)
+	if b.saved.level < 1 {
+		return false
+	}
+	b.saved.level--
+	return true
+}
--- /dev/null
+++ b/savorycore/savorylimit/limiter.go
@@ -0,0 +1,264 @@
+// Package savorylimit enforces customers' contracts over all entries together.
+//
+// No store call is made for a request: each entry holds a share of each
+// contract. Entries announce their demand for a customer to one another; an
+// entry's share is its announced part of the announced total. An announcement
+// counts at its own entry only after a settling time, when the others have
+// heard it, so that shares that are raised at once do not add up to more than
+// the contract. An entry that is listed by the platform but not heard from
+// keeps the share that it last announced: a cut between entries does not
+// double a contract.
+//
+// The package decides only: it does no I/O and reads no clock. A Limiter is
+// not safe for concurrent use.
+package savorylimit
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// burstTime is the length of traffic at the full rate that a bucket holds.
+	burstTime = time.Second
+	// demandHalfLife is the half-life of the measured demand.
+	demandHalfLife = time.Second
+	// Settling is the time after which an entry's own announcement counts; it
+	// must exceed the time that announcements take to reach the others.
+	Settling = 1500 * time.Millisecond
+	// reservePart is the part of a contract that is divided evenly between all
+	// entries whatever the demand, so that a first request finds a share.
+	reservePart = 0.1
+	// minRetry bounds the Retry-After of a refusal from below.
+	minRetry = 100 * time.Millisecond
+	// concurrencyRetry is the Retry-After when too many requests are in flight.
+	concurrencyRetry = 500 * time.Millisecond
+	// smallDemand is the demand, in requests a second, below which a customer
+	// is not announced.
+	smallDemand = 0.01
+)
+
+// Demand is one entry's demand for one customer.
+type Demand struct {
+	Customer string
+	// Rate is the rate of requests that arrived, admitted or not, per second.
+	Rate float64
+}
+
+// Limiter is one entry's part in all contracts. Its exported fields are set
+// before its first use.
+type Limiter struct {
+	// Entry is the entry's own name.
+	Entry string
+
+	customers map[string]*usage
+	// entries is the set of entries that the platform lists.
+	entries map[string]bool
+	// demands holds the last announcement of each other entry.
+	demands map[string]map[string]float64
+}
+
+// usage is what this entry knows of one customer.
+type usage struct {
+	requests bucket
+	tokens   bucket
+	inFlight int
+
+	demand   float64
+	demandAt time.Time
+
+	// announced is the own demand that counts; pending replaces it at
+	// settledAt.
+	announced float64
+	pending   float64
+	settledAt time.Time
+}
+
+// SetEntries tells which entries the platform lists. This entry counts whether
+// listed or not. What an entry that is no longer listed announced is dropped.
+func (l *Limiter) SetEntries(names []string) {
+	l.entries = map[string]bool{l.Entry: true}
+	for _, name := range names {
+		l.entries[name] = true
+	}
+	for name := range l.demands {
+		if !l.entries[name] {
+			delete(l.demands, name)
+		}
+	}
+}
+
+// Heard takes the announcement of another entry. It replaces the one before.
+func (l *Limiter) Heard(entry string, demands []Demand) {
+	if entry == l.Entry {
+		return
+	}
+	if l.demands == nil {
+		l.demands = make(map[string]map[string]float64)
+	}
+	heard := make(map[string]float64, len(demands))
+	for _, d := range demands {
+		if d.Rate > 0 && !math.IsInf(d.Rate, 0) {
+			heard[d.Customer] = d.Rate
+		}
+	}
+	l.demands[entry] = heard
+}
+
+// Announce returns this entry's demands at now, to be sent to the others.
+func (l *Limiter) Announce(now time.Time) []Demand {
+	var demands []Demand
+	for name, u := range l.customers {
+		u.settle(now)
+		rate := u.rate(now)
+		if rate < smallDemand {
+			rate = 0
+		}
+		if u.pending != rate {
+			u.pending = rate
+			if u.settledAt.Before(now) {
+				u.settledAt = now.Add(Settling)
+			}
+		}
+		if rate > 0 {
+			demands = append(demands, Demand{Customer: name, Rate: rate})
+		}
+		if rate == 0 && u.inFlight == 0 && u.announced == 0 {
+			delete(l.customers, name)
+		}
+	}
+	return demands
+}
+
+// Admit decides on a request that needs tokens (prompt and answer; 0 for a
+// plain service) at now. If it is admitted the caller must call Done. The
+// error is a 429 with the verdict NotRun.
+func (l *Limiter) Admit(c *savoryworld.Customer, tokens int, now time.Time) error {
+	u := l.usage(c.Name)
+	u.arrived(now)
+	contract := c.Contract
+	share := l.Share(c.Name, now)
+	if limit := l.concurrency(contract, share); limit > 0 && u.inFlight >= limit {
+		return overContract("Concurrency", concurrencyRetry, "%d requests are in flight", u.inFlight)
+	}
+	requestRate := contract.RequestsPerSecond * share
+	tokenRate := contract.TokensPerSecond * share
+	requestWait := u.requests.need(requestRate, 1, now)
+	tokenWait := u.tokens.need(tokenRate, float64(tokens), now)
+	if requestWait > 0 {
+		return overContract("RequestsPerSecond", requestWait, "the rate of requests is used up")
+	}
+	if tokenWait > 0 {
+		return overContract("TokensPerSecond", tokenWait, "the rate of tokens is used up")
+	}
+	u.requests.take(requestRate, 1)
+	u.tokens.take(tokenRate, float64(tokens))
+	u.inFlight++
+	return nil
+}
+
+// Done ends an admitted request; tokens that were reserved but not used go
+// back.
+func (l *Limiter) Done(customer string, unused int) {
+	u := l.usage(customer)
+	u.inFlight = max(0, u.inFlight-1)
+	u.tokens.level += float64(unused)
+}
+
+// InFlight returns the number of the customer's requests at this entry.
+func (l *Limiter) InFlight(customer string) int {
+	if u := l.customers[customer]; u != nil {
+		return u.inFlight
+	}
+	return 0
+}
+
+// Share returns this entry's part of the customer's contract at now, above 0
+// and at most 1.
+func (l *Limiter) Share(customer string, now time.Time) float64 {
+	n := float64(max(len(l.entries), 1))
+	u := l.usage(customer)
+	u.settle(now)
+	total := u.announced
+	for _, heard := range l.demands {
+		total += heard[customer]
+	}
+	if total <= 0 {
+		return 1 / n
+	}
+	return reservePart/n + (1-reservePart)*u.announced/total
+}
+
+func (l *Limiter) usage(customer string) *usage {
+	if l.customers == nil {
+		l.customers = make(map[string]*usage)
+	}
+	u := l.customers[customer]
+	if u == nil {
+		u = new(usage)
+		l.customers[customer] = u
+	}
+	return u
+}
+
+// concurrency returns this entry's part of the bound on requests in flight, at
+// least 1; 0 means no bound.
+func (l *Limiter) concurrency(contract savoryworld.Contract, share float64) int {
+	if contract.Concurrency == 0 {
+		return 0
+	}
+	return max(1, int(math.Round(float64(contract.Concurrency)*share)))
+}
+
+// settle lets the own announcement count once the others have heard it.
+func (u *usage) settle(now time.Time) {
+	if !u.settledAt.IsZero() && !now.Before(u.settledAt) {
+		u.announced = u.pending
+	}
+}
+
+func (u *usage) arrived(now time.Time) {
+	u.demand = u.rate(now) + math.Ln2/demandHalfLife.Seconds()
+	u.demandAt = now
+}
+
+// rate returns the measured demand in requests per second.
+func (u *usage) rate(now time.Time) float64 {
+	if u.demandAt.IsZero() {
+		return 0
+	}
+	return u.demand * math.Exp2(-now.Sub(u.demandAt).Seconds()/demandHalfLife.Seconds())
+}
+
+// need returns how long the request must wait for amount at rate.
+func (b *bucket) need(rate, amount float64, now time.Time) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	// A bucket always holds one whole request, or no share however small would
+	// ever admit one.
+	b.refill(rate, max(rate*burstTime.Seconds(), amount, 1), now)
+	return b.wait(rate, amount)
+}
+
+func (b *bucket) take(rate, amount float64) {
+	if rate > 0 {
+		b.level -= amount
+	}
+}
+
+func overContract(field string, after time.Duration, format string, args ...any) error {
+	return &savoryverdict.Error{
+		Verdict:    savoryverdict.NotRun,
+		Status:     http.StatusTooManyRequests,
+		Code:       "OverContract",
+		Field:      "Contract." + field,
+		Message:    fmt.Sprintf(format, args...),
+		RetryAfter: max(after, minRetry),
+	}
+}
--- /dev/null
+++ b/savorycore/savoryorder/planner.go
@@ -0,0 +1,143 @@
+package savoryorder
+
+// This file defines Planner, which compares engines with the configuration.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// statusFresh is the greatest age of a status that an order is based on.
+	statusFresh = 5 * time.Second
+	// orderPause is the pause before an engine that did not follow an order is
+	// ordered again; it doubles up to maxOrderPause.
+	orderPause    = 2 * time.Second
+	maxOrderPause = time.Minute
+	// loadingTime is how long an engine that was just ordered counts as
+	// loading even if its status does not say so yet.
+	loadingTime = 5 * time.Second
+)
+
+// Order is one decision: the engine is to hold what the configuration says.
+type Order struct {
+	Server *savoryworld.BackendServer
+	Wanted savoryengine.Wanted
+	// Holds is what the engine says that it holds.
+	Holds savoryengine.Wanted
+	// Try counts the orders of the same state to the engine, from 1.
+	Try int
+}
+
+// Planner decides on orders. Its exported fields are set before its first use;
+// it is not safe for concurrent use.
+type Planner struct {
+	// MaxLoading bounds the engines that load weights at a time, since the
+	// weight store's rate is limited.
+	MaxLoading int
+
+	engines map[string]*engineState
+}
+
+type engineState struct {
+	status    savoryengine.Status
+	statusAt  time.Time
+	ordered   savoryengine.Wanted
+	orderedAt time.Time
+	tries     int
+}
+
+// WantedOf returns the state that the configuration wants of an engine.
+func WantedOf(s *savoryworld.BackendServer) savoryengine.Wanted {
+	return savoryengine.Wanted{Model: s.Model, Version: s.Version, Adapter: s.Adapter, Layers: s.Layers}
+}
+
+// Observe takes the status of an engine, read at now.
+func (p *Planner) Observe(server string, status savoryengine.Status, now time.Time) {
+	e := p.engine(server)
+	e.status = status
+	e.statusAt = now
+}
+
+// Plan returns the orders to give now, at most so many that MaxLoading engines
+// load. Engines whose status is old, that load already, or that are leaving get
+// none.
+func (p *Planner) Plan(servers []savoryworld.BackendServer, now time.Time) []Order {
+	room := p.MaxLoading - p.loading(now)
+	var orders []Order
+	for _, i := range byName(servers) {
+		server := &servers[i]
+		if room <= 0 {
+			break
+		}
+		if !server.IsEngine() || server.Leaving || !p.due(server, now) {
+			continue
+		}
+		e := p.engine(server.Name)
+		wanted := WantedOf(server)
+		if e.ordered != wanted {
+			e.ordered, e.tries = wanted, 0
+		}
+		e.tries++
+		e.orderedAt = now
+		orders = append(orders, Order{Server: server, Wanted: wanted, Holds: e.status.Holds, Try: e.tries})
+		room--
+	}
+	return orders
+}
+
+// due reports whether the engine differs from the configuration and may be
+// ordered now.
+func (p *Planner) due(server *savoryworld.BackendServer, now time.Time) bool {
+	e := p.engine(server.Name)
+	if e.statusAt.IsZero() || now.Sub(e.statusAt) > statusFresh || e.status.Loading || e.status.Leaving {
+		return false
+	}
+	wanted := WantedOf(server)
+	if e.status.Holds == wanted {
+		return false
+	}
+	if e.ordered != wanted {
+		return true
+	}
+	pause := min(orderPause<<min(e.tries, 10), maxOrderPause)
+	return now.Sub(e.orderedAt) >= pause
+}
+
+// loading counts the engines that load weights.
+func (p *Planner) loading(now time.Time) int {
+	n := 0
+	for _, e := range p.engines {
+		just := !e.orderedAt.IsZero() && now.Sub(e.orderedAt) < loadingTime && e.status.Holds != e.ordered
+		if e.status.Loading || just {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Planner) engine(server string) *engineState {
+	if p.engines == nil {
+		p.engines = make(map[string]*engineState)
+	}
+	e := p.engines[server]
+	if e == nil {
+		e = new(engineState)
+		p.engines[server] = e
+	}
+	return e
+}
+
+// byName returns the indexes of servers in order of name.
+func byName(servers []savoryworld.BackendServer) []int {
+	order := make([]int, len(servers))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(servers[a].Name, servers[b].Name) })
+	return order
+}
--- /dev/null
+++ b/savorycore/savorypeer/client.go
@@ -0,0 +1,171 @@
+package savorypeer
+
+// This file defines the client side.
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
+)
+
+// silentCalls is the number of calls in a row without an answer after which a
+// connection is replaced: it may have gone silent while new ones work.
+const silentCalls = 2
+
+// Client calls other entries. Its exported fields are set before its first
+// use.
+type Client struct {
+	// Credentials secures the connections; nil leaves them open.
+	Credentials credentials.TransportCredentials
+	// Timeout bounds each call.
+	Timeout time.Duration
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*peerConn
+
+	sentBytes     atomic.Int64
+	receivedBytes atomic.Int64
+	messages      atomic.Int64
+}
+
+type peerConn struct {
+	conn *grpc.ClientConn
+	// unanswered counts calls in a row without an answer.
+	unanswered atomic.Int32
+}
+
+// Traffic is what a client sent and received, payload and framing.
+type Traffic struct {
+	SentBytes     int64
+	ReceivedBytes int64
+	Messages      int64
+}
+
+// Exchange sends a heartbeat and returns that of the peer.
+func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, hello *Hello) (*Hello, error) {
+	answer := new(Hello)
+	return answer, c.call(ctx, to, methodExchange, hello, answer)
+}
+
+// Offer hands news to a peer.
+func (c *Client) Offer(ctx context.Context, to netip.AddrPort, offer *Offer) (*Ack, error) {
+	answer := new(Ack)
+	return answer, c.call(ctx, to, methodOffer, offer, answer)
+}
+
+// Fetch asks a peer for state.
+func (c *Client) Fetch(ctx context.Context, to netip.AddrPort, fetch *Fetch) (*State, error) {
+	answer := new(State)
+	return answer, c.call(ctx, to, methodFetch, fetch, answer)
+}
+
+// Traffic returns the totals since the client was made.
+func (c *Client) Traffic() Traffic {
+	return Traffic{
+		SentBytes:     c.sentBytes.Load(),
+		ReceivedBytes: c.receivedBytes.Load(),
+		Messages:      c.messages.Load(),
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.conns {
+		_ = p.conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// Forget closes the connection to a peer that is gone.
+func (c *Client) Forget(address netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.conns[address]; p != nil {
+		_ = p.conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+func (c *Client) call(ctx context.Context, to netip.AddrPort, method string, req, answer any) error {
+	p, err := c.connect(to)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	err = p.conn.Invoke(ctx, "/"+serviceName+"/"+method, req, answer)
+	if err == nil {
+		p.unanswered.Store(0)
+		return nil
+	}
+	if p.unanswered.Add(1) >= silentCalls {
+		c.Forget(to)
+	}
+	return fmt.Errorf("peer %s: %s: %w", to, method, err)
+}
+
+func (c *Client) connect(to netip.AddrPort) (*peerConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.conns[to]; p != nil {
+		return p, nil
+	}
+	creds := c.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	conn, err := grpc.NewClient("passthrough:///"+to.String(),
+		grpc.WithTransportCredentials(creds),
+		grpc.WithStatsHandler((*trafficCounter)(c)),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: idleTime, Timeout: checkTime, PermitWithoutStream: true}),
+		grpc.WithDisableServiceConfig(),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", to, err)
+	}
+	if c.conns == nil {
+		c.conns = make(map[netip.AddrPort]*peerConn)
+	}
+	p := &peerConn{conn: conn}
+	c.conns[to] = p
+	return p, nil
+}
+
+// trafficCounter counts a client's bytes.
+type trafficCounter Client
+
+var _ stats.Handler = (*trafficCounter)(nil)
+
+// TagRPC returns ctx.
+func (*trafficCounter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// TagConn returns ctx.
+func (*trafficCounter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
+	return ctx
+}
+
+// HandleConn ignores connections.
+func (*trafficCounter) HandleConn(context.Context, stats.ConnStats) {}
+
+// HandleRPC adds the length of each payload.
+func (t *trafficCounter) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch s := s.(type) {
+	case *stats.OutPayload:
+		t.sentBytes.Add(int64(s.WireLength))
+		t.messages.Add(1)
+	case *stats.InPayload:
+		t.receivedBytes.Add(int64(s.WireLength))
+	}
+}
--- /dev/null
+++ b/savorycore/savorypeer/codec.go
@@ -0,0 +1,56 @@
+package savorypeer
+
+// This file defines the gRPC codec.
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"google.golang.org/grpc/encoding"
+)
+
+// codecName is the content subtype on the wire.
+const codecName = "msgpack"
+
+// message is a message that checks itself when it is decoded.
+type message interface{ Check() error }
+
+var (
+	_ message = (*Hello)(nil)
+	_ message = (*Offer)(nil)
+	_ message = (*Ack)(nil)
+	_ message = (*Fetch)(nil)
+	_ message = (*State)(nil)
+)
+
+// codec encodes messages as MessagePack.
+type codec struct{}
+
+var _ encoding.Codec = codec{}
+
+// Name returns the content subtype.
+func (codec) Name() string { return codecName }
+
+// Marshal encodes a message.
+func (codec) Marshal(v any) ([]byte, error) {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("peer message: %w", err)
+	}
+	return body, nil
+}
+
+// Unmarshal decodes a message and checks it.
+func (codec) Unmarshal(data []byte, v any) error {
+	if err := msgpack.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("peer message: %w", err)
+	}
+	m, ok := v.(message)
+	if !ok {
+		return fmt.Errorf("peer message: %T is not a message", v)
+	}
+	if err := m.Check(); err != nil {
+		return fmt.Errorf("peer message: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/savorycore/savorypeer/message.go
@@ -0,0 +1,139 @@
+// Package savorypeer carries messages between entries: gRPC with a MessagePack
+// codec on the domain types, so that no code is generated.
+//
+// Three calls exist. Exchange is the heartbeat: both sides tell their revision,
+// the digest of their leaving marks and their demands. Offer hands on a new
+// revision of the configuration or new marks. Fetch asks for a root, buckets
+// or marks that the caller lacks. Each message checks itself when it is
+// decoded.
+package savorypeer
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorymember"
+)
+
+const (
+	// maxDemands bounds the demands in one message.
+	maxDemands = 4096
+	// maxMarks bounds the marks in one message.
+	maxMarks = 16384
+	// MaxBuckets bounds the buckets in one message.
+	MaxBuckets = 64
+)
+
+// Hello is what one side of an Exchange tells of itself.
+type Hello struct {
+	Address    netip.AddrPort
+	Zone       string
+	Region     string
+	Draining   bool                 `msgpack:",omitempty"`
+	Revision   uint64               `msgpack:",omitempty"`
+	MarkDigest uint64               `msgpack:",omitempty"`
+	Demands    []savorylimit.Demand `msgpack:",omitempty"`
+}
+
+// Peer returns the sender.
+func (h *Hello) Peer() savorymember.Peer {
+	return savorymember.Peer{Address: h.Address, Zone: h.Zone, Region: h.Region}
+}
+
+// Check returns an error if the message is not well formed.
+func (h *Hello) Check() error {
+	if !h.Address.IsValid() {
+		return errors.New("Hello.Address: is not an IP address with a port")
+	}
+	if h.Zone == "" {
+		return errors.New("Hello.Zone: is empty")
+	}
+	if len(h.Demands) > maxDemands {
+		return fmt.Errorf("Hello.Demands: %d entries, more than %d", len(h.Demands), maxDemands)
+	}
+	return nil
+}
+
+// Offer hands on news. Root may be empty.
+type Offer struct {
+	// Root is an encoded savoryconfig.Root.
+	Root []byte `msgpack:",omitempty"`
+	// Buckets holds buckets of Root that are likely to be new.
+	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
+	Marks   []savorymember.Mark   `msgpack:",omitempty"`
+	// From is the entry that offers and can be asked for what is missing.
+	From netip.AddrPort
+}
+
+// Check returns an error if the message is not well formed.
+func (o *Offer) Check() error {
+	if !o.From.IsValid() {
+		return errors.New("Offer.From: is not an IP address with a port")
+	}
+	if len(o.Buckets) > MaxBuckets {
+		return fmt.Errorf("Offer.Buckets: %d buckets, more than %d", len(o.Buckets), MaxBuckets)
+	}
+	return checkParts(o.Buckets, o.Marks)
+}
+
+// Ack answers an Offer with what is now in force at the receiver.
+type Ack struct {
+	Revision   uint64
+	MarkDigest uint64
+}
+
+// Check accepts every Ack.
+func (a *Ack) Check() error { return nil }
+
+// Fetch asks for state.
+type Fetch struct {
+	// Root asks for the root in force.
+	Root bool `msgpack:",omitempty"`
+	// Marks asks for all marks.
+	Marks bool `msgpack:",omitempty"`
+	// Buckets names buckets.
+	Buckets []savoryconfig.BucketID `msgpack:",omitempty"`
+}
+
+// Check returns an error if the message is not well formed.
+func (f *Fetch) Check() error {
+	if len(f.Buckets) > MaxBuckets {
+		return fmt.Errorf("Fetch.Buckets: %d buckets, more than %d", len(f.Buckets), MaxBuckets)
+	}
+	return nil
+}
+
+// State answers a Fetch. Buckets that the sender lacks are left out.
+type State struct {
+	Root    []byte                `msgpack:",omitempty"`
+	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
+	Marks   []savorymember.Mark   `msgpack:",omitempty"`
+}
+
+// Check returns an error if the message is not well formed.
+func (s *State) Check() error {
+	if len(s.Buckets) > MaxBuckets {
+		return fmt.Errorf("State.Buckets: %d buckets, more than %d", len(s.Buckets), MaxBuckets)
+	}
+	return checkParts(s.Buckets, s.Marks)
+}
+
+func checkParts(buckets []savoryconfig.Bucket, marks []savorymember.Mark) error {
+	for i := range buckets {
+		if err := buckets[i].Check(); err != nil {
+			return err
+		}
+	}
+	if len(marks) > maxMarks {
+		return fmt.Errorf("marks: %d entries, more than %d", len(marks), maxMarks)
+	}
+	for _, m := range marks {
+		if err := m.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/savorycore/savorypeer/server.go
@@ -0,0 +1,91 @@
+package savorypeer
+
+// This file defines the server side and the service description.
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	serviceName    = "savorycart.Peers"
+	methodExchange = "Exchange"
+	methodOffer    = "Offer"
+	methodFetch    = "Fetch"
+	// maxMessageBytes bounds one message.
+	maxMessageBytes = 16 << 20
+	// idleTime is the time without a message after which a connection is
+	// checked, and closed if nothing answers.
+	idleTime = 10 * time.Second
+	// checkTime is how long such a check waits.
+	checkTime = 3 * time.Second
+)
+
+// Server answers the calls of other entries. Its exported fields are set
+// before Serve.
+type Server struct {
+	// Credentials secures the listener; nil leaves it open.
+	Credentials credentials.TransportCredentials
+	Exchange    func(context.Context, *Hello) (*Hello, error)
+	Offer       func(context.Context, *Offer) (*Ack, error)
+	Fetch       func(context.Context, *Fetch) (*State, error)
+
+	grpc *grpc.Server
+}
+
+// Prepare builds the server; it is called once, before Serve.
+func (s *Server) Prepare() {
+	options := []grpc.ServerOption{
+		grpc.ForceServerCodec(codec{}),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: idleTime, Timeout: checkTime}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: idleTime / 2, PermitWithoutStream: true}),
+	}
+	if s.Credentials != nil {
+		options = append(options, grpc.Creds(s.Credentials))
+	}
+	s.grpc = grpc.NewServer(options...)
+	s.grpc.RegisterService(s.description(), s)
+}
+
+// Serve answers calls on l until Stop.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.grpc.Serve(l); err != nil {
+		return fmt.Errorf("peers' listener: %w", err)
+	}
+	return nil
+}
+
+// Stop ends the server; calls in flight are cut off, since each may be
+// repeated.
+func (s *Server) Stop() { s.grpc.Stop() }
+
+func (s *Server) description() *grpc.ServiceDesc {
+	return &grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*any)(nil),
+		Methods: []grpc.MethodDesc{
+			method(methodExchange, s.Exchange),
+			method(methodOffer, s.Offer),
+			method(methodFetch, s.Fetch),
+		},
+	}
+}
+
+// method describes one unary call.
+func method[Req, Resp any](name string, handle func(context.Context, *Req) (*Resp, error)) grpc.MethodDesc {
+	handler := func(_ any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		req := new(Req)
+		if err := decode(req); err != nil {
+			return nil, err
+		}
+		return handle(ctx, req)
+	}
+	return grpc.MethodDesc{MethodName: name, Handler: handler}
+}
--- /dev/null
+++ b/savorycore/savorystore/store.go
@@ -0,0 +1,329 @@
+// Package savorystore is the client of the platform's key-value service.
+//
+// The service speaks the JSON mapping of the etcd v3 API. A Store offers the
+// few calls that the system needs: reads, compare-and-swap of single keys, in
+// groups where several callers write at once, leases and watches. Every value
+// has the revision of its last change; revision 0 stands for an absent key.
+//
+// A call that fails returns an *Error whose verdict tells whether the service
+// may have applied it: NotRun only if no byte can have reached the service.
+package savorystore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// MaxGroup is the most swaps of one group; the service bounds the number of
+// operations of a transaction.
+const MaxGroup = 64
+
+// maxAnswerBytes bounds the answer to one call.
+const maxAnswerBytes = 64 << 20
+
+// errLeaseGone says that the service no longer knows a lease.
+var errLeaseGone = errors.New("the lease has lapsed")
+
+// Store is a client. Its exported fields are set before its first use.
+type Store struct {
+	// Address is the service.
+	Address netip.AddrPort
+	// Timeout bounds each call but Watch.
+	Timeout time.Duration
+	// Called, if set, is told of each call that ended.
+	Called func(op string, err error)
+
+	client http.Client
+}
+
+// Value is the content of one key. The zero Value is an absent key.
+type Value struct {
+	Key      string
+	Body     []byte
+	Revision int64
+}
+
+// Found reports whether the key exists.
+func (v Value) Found() bool { return v.Revision != 0 }
+
+// Swap is a compare-and-swap of one key.
+type Swap struct {
+	Key string
+	// Old is the revision that the key must have.
+	Old int64
+	// Body is the new content; nil deletes the key.
+	Body []byte
+	// Lease ties the key to a lease; 0 ties it to none.
+	Lease int64
+}
+
+// SwapResult tells the outcome of a Swap.
+type SwapResult struct {
+	Won bool
+	// Revision is the key's new revision if Won.
+	Revision int64
+	// Current is the key's content if not Won.
+	Current Value
+}
+
+// Lease is a granted lease.
+type Lease struct {
+	ID  int64
+	TTL time.Duration
+}
+
+// Error is a failed call.
+type Error struct {
+	Op string
+	// Verdict tells whether the service may have applied the call.
+	Verdict savoryverdict.Verdict
+	Err     error
+}
+
+var _ error = (*Error)(nil)
+
+// Error returns operation, cause and verdict.
+func (e *Error) Error() string {
+	return fmt.Sprintf("store: %s: %v (%s)", e.Op, e.Err, e.Verdict)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// LeaseGone reports whether err says that the service no longer knows a lease.
+func LeaseGone(err error) bool { return errors.Is(err, errLeaseGone) }
+
+// Get reads one key.
+func (s *Store) Get(ctx context.Context, key string) (Value, error) {
+	var answer RangeResponse
+	if err := s.call(ctx, "range", "/v3/kv/range", RangeRequest{Key: []byte(key)}, &answer); err != nil {
+		return Value{}, err
+	}
+	return oneValue(key, answer), nil
+}
+
+// List reads all keys that begin with prefix, and the service's revision.
+func (s *Store) List(ctx context.Context, prefix string) ([]Value, int64, error) {
+	var answer RangeResponse
+	req := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix))}
+	if err := s.call(ctx, "range", "/v3/kv/range", req, &answer); err != nil {
+		return nil, 0, err
+	}
+	values := make([]Value, 0, len(answer.Kvs))
+	for _, kv := range answer.Kvs {
+		values = append(values, valueOf(kv))
+	}
+	return values, answer.Header.Revision, nil
+}
+
+// Swap runs one compare-and-swap.
+func (s *Store) Swap(ctx context.Context, swap Swap) (SwapResult, error) {
+	results, err := s.SwapGroup(ctx, []Swap{swap})
+	if err != nil {
+		return SwapResult{}, err
+	}
+	return results[0], nil
+}
+
+// SwapGroup runs up to MaxGroup swaps of different keys in one call. Each wins
+// or loses by itself.
+func (s *Store) SwapGroup(ctx context.Context, swaps []Swap) ([]SwapResult, error) {
+	var group TxnRequest
+	for _, swap := range swaps {
+		txn := swapTxn(swap)
+		group.Success = append(group.Success, RequestOp{Txn: &txn})
+	}
+	var answer TxnResponse
+	if err := s.call(ctx, "txn", "/v3/kv/txn", group, &answer); err != nil {
+		return nil, err
+	}
+	if len(answer.Responses) != len(swaps) {
+		err := fmt.Errorf("%d answers to %d swaps", len(answer.Responses), len(swaps))
+		return nil, &Error{Op: "txn", Verdict: savoryverdict.MayHaveRun, Err: err}
+	}
+	results := make([]SwapResult, len(swaps))
+	for i, op := range answer.Responses {
+		if op.Txn == nil {
+			return nil, &Error{Op: "txn", Verdict: savoryverdict.MayHaveRun, Err: errors.New("an answer is missing")}
+		}
+		results[i] = swapResult(swaps[i], op.Txn, answer.Header.Revision)
+	}
+	return results, nil
+}
+
+// Put writes a key without a condition.
+func (s *Store) Put(ctx context.Context, key string, body []byte) error {
+	put := PutRequest{Key: []byte(key), Value: body}
+	return s.call(ctx, "put", "/v3/kv/put", put, &struct{}{})
+}
+
+// Delete deletes a key without a condition.
+func (s *Store) Delete(ctx context.Context, key string) error {
+	return s.call(ctx, "delete", "/v3/kv/deleterange", DeleteRequest{Key: []byte(key)}, &struct{}{})
+}
+
+// Grant grants a lease for ttl, rounded up to whole seconds.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	var answer LeaseResponse
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	if err := s.call(ctx, "grant", "/v3/lease/grant", LeaseRequest{TTL: seconds}, &answer); err != nil {
+		return Lease{}, err
+	}
+	return Lease{ID: answer.ID, TTL: time.Duration(answer.TTL) * time.Second}, nil
+}
+
+// KeepAlive renews a lease. An error for which LeaseGone is true says that it
+// has lapsed.
+func (s *Store) KeepAlive(ctx context.Context, id int64) (Lease, error) {
+	var answer KeepAliveResponse
+	if err := s.call(ctx, "keepalive", "/v3/lease/keepalive", LeaseRequest{ID: id}, &answer); err != nil {
+		return Lease{}, err
+	}
+	if answer.Result.TTL <= 0 {
+		return Lease{}, &Error{Op: "keepalive", Verdict: savoryverdict.NotRun, Err: errLeaseGone}
+	}
+	return Lease{ID: id, TTL: time.Duration(answer.Result.TTL) * time.Second}, nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(ctx context.Context, id int64) error {
+	return s.call(ctx, "revoke", "/v3/lease/revoke", LeaseRequest{ID: id}, &struct{}{})
+}
+
+// Watch calls changed for each change, from revision from on, of a key that
+// begins with prefix, until ctx ends or the watch breaks. A deleted key has a
+// nil body. The watch has no timeout: a connection that goes silent looks like
+// a quiet key, so the caller must compare with a read from time to time.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64, changed func(Value)) error {
+	body, err := json.Marshal(WatchRequest{Create: WatchCreate{
+		Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix)), StartRevision: from,
+	}})
+	if err != nil {
+		return fmt.Errorf("store: watch: %w", err)
+	}
+	resp, err := s.post(ctx, "/v3/watch", body)
+	if err != nil {
+		return fmt.Errorf("store: watch: %w", err)
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		var message WatchResponse
+		if err := dec.Decode(&message); err != nil {
+			return fmt.Errorf("store: watch: %w", err)
+		}
+		if message.Result.Canceled {
+			return errors.New("store: watch: canceled by the service")
+		}
+		for _, event := range message.Result.Events {
+			v := valueOf(event.Kv)
+			if event.Type == EventDelete {
+				v.Body = nil
+			}
+			changed(v)
+		}
+	}
+}
+
+func (s *Store) call(ctx context.Context, op, path string, req, answer any) error {
+	err := s.roundTrip(ctx, op, path, req, answer)
+	if s.Called != nil {
+		s.Called(op, err)
+	}
+	return err
+}
+
+func (s *Store) roundTrip(ctx context.Context, op, path string, req, answer any) error {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return &Error{Op: op, Verdict: savoryverdict.NotRun, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	resp, err := s.post(ctx, path, body)
+	if err != nil {
+		// The connection may have gone silent: the next call opens another.
+		s.client.CloseIdleConnections()
+		return &Error{Op: op, Verdict: dialVerdict(err), Err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &Error{Op: op, Verdict: savoryverdict.MayHaveRun, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		err := fmt.Errorf("status %d: %.200s", resp.StatusCode, text)
+		return &Error{Op: op, Verdict: savoryverdict.MayHaveRun, Err: err}
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return &Error{Op: op, Verdict: savoryverdict.MayHaveRun, Err: err}
+	}
+	return nil
+}
+
+func (s *Store) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return s.client.Do(req)
+}
+
+// dialVerdict returns NotRun if err says that no connection was made.
+func dialVerdict(err error) savoryverdict.Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return savoryverdict.NotRun
+	}
+	return savoryverdict.MayHaveRun
+}
+
+func swapTxn(swap Swap) TxnRequest {
+	key := []byte(swap.Key)
+	write := RequestOp{Put: &PutRequest{Key: key, Value: swap.Body, Lease: swap.Lease}}
+	if swap.Body == nil {
+		write = RequestOp{Delete: &DeleteRequest{Key: key}}
+	}
+	return TxnRequest{
+		Compare: []Compare{{Key: key, Target: "MOD", Result: "EQUAL", ModRevision: swap.Old}},
+		Success: []RequestOp{write},
+		Failure: []RequestOp{{Range: &RangeRequest{Key: key}}},
+	}
+}
+
+func swapResult(swap Swap, txn *TxnResponse, revision int64) SwapResult {
+	if txn.Succeeded {
+		return SwapResult{Won: true, Revision: revision}
+	}
+	result := SwapResult{Current: Value{Key: swap.Key}}
+	if len(txn.Responses) > 0 && txn.Responses[0].Range != nil {
+		result.Current = oneValue(swap.Key, *txn.Responses[0].Range)
+	}
+	return result
+}
+
+func oneValue(key string, answer RangeResponse) Value {
+	if len(answer.Kvs) == 0 {
+		return Value{Key: key}
+	}
+	return valueOf(answer.Kvs[0])
+}
+
+func valueOf(kv KeyValue) Value {
+	body := kv.Value
+	if body == nil {
+		body = []byte{}
+	}
+	return Value{Key: string(kv.Key), Body: body, Revision: kv.ModRevision}
+}
--- /dev/null
+++ b/savorycore/savorystore/wire.go
@@ -0,0 +1,142 @@
+package savorystore
+
+// This file defines the messages of the platform's service: the JSON mapping
+// of the etcd v3 API. Keys and values are base64, 64-bit numbers are strings.
+
+// Header is part of every answer.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is one stored pair.
+type KeyValue struct {
+	Key         []byte `json:"key,omitempty"`
+	Value       []byte `json:"value,omitempty"`
+	ModRevision int64  `json:"mod_revision,string,omitempty"`
+	Lease       int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads the keys in [Key, RangeEnd), or Key alone.
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	Kvs    []KeyValue `json:"kvs,omitempty"`
+}
+
+// PutRequest writes one pair.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRequest deletes one key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// Compare is a condition of a transaction.
+type Compare struct {
+	Key    []byte `json:"key"`
+	Target string `json:"target"`
+	Result string `json:"result"`
+	// ModRevision is compared when Target is "MOD"; 0 stands for no key.
+	ModRevision int64 `json:"mod_revision,string"`
+}
+
+// RequestOp is one operation of a transaction; one field is set.
+type RequestOp struct {
+	Range  *RangeRequest  `json:"request_range,omitempty"`
+	Put    *PutRequest    `json:"request_put,omitempty"`
+	Delete *DeleteRequest `json:"request_delete_range,omitempty"`
+	Txn    *TxnRequest    `json:"request_txn,omitempty"`
+}
+
+// TxnRequest runs Success if every comparison holds, else Failure.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare,omitempty"`
+	Success []RequestOp `json:"success,omitempty"`
+	Failure []RequestOp `json:"failure,omitempty"`
+}
+
+// ResponseOp answers one RequestOp.
+type ResponseOp struct {
+	Range *RangeResponse `json:"response_range,omitempty"`
+	Txn   *TxnResponse   `json:"response_txn,omitempty"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    Header       `json:"header"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	Responses []ResponseOp `json:"responses,omitempty"`
+}
+
+// LeaseRequest grants a lease of TTL seconds, or names one by ID.
+type LeaseRequest struct {
+	TTL int64 `json:"TTL,string,omitempty"`
+	ID  int64 `json:"ID,string,omitempty"`
+}
+
+// LeaseResponse answers a LeaseRequest. A TTL of 0 says that the lease is gone.
+type LeaseResponse struct {
+	Header Header `json:"header"`
+	ID     int64  `json:"ID,string,omitempty"`
+	TTL    int64  `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse wraps the answer to a keep-alive, which is a stream.
+type KeepAliveResponse struct {
+	Result LeaseResponse `json:"result"`
+}
+
+// WatchRequest opens a watch.
+type WatchRequest struct {
+	Create WatchCreate `json:"create_request"`
+}
+
+// WatchCreate names the watched keys and the first revision of interest.
+type WatchCreate struct {
+	Key           []byte `json:"key"`
+	RangeEnd      []byte `json:"range_end,omitempty"`
+	StartRevision int64  `json:"start_revision,string,omitempty"`
+}
+
+// WatchResponse is one message of a watch.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+}
+
+// WatchResult carries the events of one message.
+type WatchResult struct {
+	Header   Header       `json:"header"`
+	Created  bool         `json:"created,omitempty"`
+	Canceled bool         `json:"canceled,omitempty"`
+	Events   []WatchEvent `json:"events,omitempty"`
+}
+
+// EventDelete is the Type of an event that deletes a key.
+const EventDelete = "DELETE"
+
+// WatchEvent is one change; an empty Type is a put.
+type WatchEvent struct {
+	Type string   `json:"type,omitempty"`
+	Kv   KeyValue `json:"kv"`
+}
+
+// PrefixEnd returns the end of the range of keys that begin with prefix.
+func PrefixEnd(prefix []byte) []byte {
+	end := append([]byte(nil), prefix...)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/savoryentry/savorynode/configstore.go
@@ -0,0 +1,306 @@
+package savorynode
+
+// This file defines configStore, which reads and changes the configuration in
+// the platform's store.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+const (
+	rootKey      = "savorycart/config/root"
+	bucketPrefix = "savorycart/config/bucket/"
+	// submitTries bounds the writes that one submission tries.
+	submitTries = 12
+	// submitPause is the pause between two tries.
+	submitPause = 50 * time.Millisecond
+	// submitRetry is when an operator may submit again.
+	submitRetry = 5 * time.Second
+)
+
+// configStore is the configuration in the store.
+type configStore struct {
+	store *savorystore.Store
+	now   func() time.Time
+}
+
+// storedRoot is a root with its revision in the store.
+type storedRoot struct {
+	root     *savoryconfig.Root
+	revision int64
+}
+
+// readRoot returns the root; before the first document it is empty and has
+// revision 0.
+func (c *configStore) readRoot(ctx context.Context) (storedRoot, error) {
+	value, err := c.store.Get(ctx, rootKey)
+	if err != nil {
+		return storedRoot{}, err
+	}
+	if !value.Found() {
+		return storedRoot{root: &savoryconfig.Root{}}, nil
+	}
+	root, err := savoryconfig.DecodeRoot(value.Body)
+	if err != nil {
+		return storedRoot{}, err
+	}
+	return storedRoot{root: root, revision: value.Revision}, nil
+}
+
+// fetch reads buckets.
+func (c *configStore) fetch(ctx context.Context) bucketFetcher {
+	return func(ids []savoryconfig.BucketID) ([]savoryconfig.Bucket, error) {
+		buckets := make([]savoryconfig.Bucket, 0, len(ids))
+		for _, id := range ids {
+			value, err := c.store.Get(ctx, bucketPrefix+id.String())
+			if err != nil {
+				return nil, err
+			}
+			if value.Found() {
+				buckets = append(buckets, savoryconfig.Bucket{ID: id, Body: value.Body})
+			}
+		}
+		return buckets, nil
+	}
+}
+
+// submission is one operator's change.
+type submission struct {
+	id string
+	// sections lists the changed sections with the revision that each was read
+	// at.
+	sections map[savoryconfig.Section]uint64
+	// document holds the new content of the sections.
+	document *savoryconfig.Document
+	// authorize decides whether the change may be made to the current document.
+	authorize func(current *savoryconfig.Document) error
+}
+
+// accepted is the outcome of a submission.
+type accepted struct {
+	root    *savoryconfig.Root
+	buckets []savoryconfig.Bucket
+}
+
+// submit makes a change by compare-and-swap of the root. A lost race against a
+// change of another section is tried again on the new root; against a change
+// of the same one it is refused. If the outcome of a write is not known, the
+// root tells by the submission's ID. inForce is the snapshot in force here.
+func (c *configStore) submit(ctx context.Context, s submission, inForce *savoryconfig.Snapshot, keeper *configKeeper) (accepted, error) {
+	unknown := false
+	for range submitTries {
+		done, err := c.trySubmit(ctx, s, inForce, keeper, &unknown)
+		var failed *savorystore.Error
+		switch {
+		case err == nil && done != nil:
+			return *done, nil
+		case err == nil:
+			// Another change won; the next try is made on its root.
+		case errors.As(err, &failed):
+			unknown = unknown || (failed.Op == "txn" && failed.Verdict != savoryverdict.NotRun)
+		default:
+			return accepted{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return accepted{}, submitFailed(unknown, ctx.Err())
+		case <-time.After(submitPause):
+		}
+	}
+	return accepted{}, submitFailed(unknown, nil)
+}
+
+// trySubmit makes one try. It returns nil and no error if another change won.
+func (c *configStore) trySubmit(ctx context.Context, s submission, inForce *savoryconfig.Snapshot, keeper *configKeeper, unknown *bool) (*accepted, error) {
+	stored, err := c.readRoot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if revision, ok := stored.root.Accepted(s.id); ok {
+		return c.alreadyAccepted(stored, revision), nil
+	}
+	if inForce != nil && stored.root.Revision < inForce.Revision() {
+		return nil, savoryverdict.Unavailable("StoreBehind", submitRetry,
+			"the store shows revision %d but revision %d is in force", stored.root.Revision, inForce.Revision())
+	}
+	current, err := c.currentDocument(ctx, stored, keeper)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.authorize(current); err != nil {
+		return nil, err
+	}
+	change, err := s.change(stored.root, current)
+	if err != nil {
+		return nil, err
+	}
+	next, err := stored.root.Apply(change, c.now())
+	if err != nil {
+		return nil, conflict(err, *unknown)
+	}
+	if err := c.rehearse(ctx, next, change, keeper); err != nil {
+		return nil, err
+	}
+	buckets, err := c.writeBuckets(ctx, stored.root, change)
+	if err != nil {
+		return nil, err
+	}
+	body, err := savoryconfig.EncodeRoot(next)
+	if err != nil {
+		return nil, err
+	}
+	result, err := c.store.Swap(ctx, savorystore.Swap{Key: rootKey, Old: stored.revision, Body: body})
+	if err != nil || !result.Won {
+		return nil, err
+	}
+	c.deleteRetired(ctx, stored.root)
+	return &accepted{root: next, buckets: buckets}, nil
+}
+
+// rehearse assembles the next revision as every entry will: a revision that
+// cannot be put in force must not be accepted.
+func (c *configStore) rehearse(ctx context.Context, next *savoryconfig.Root, change savoryconfig.Change, keeper *configKeeper) error {
+	var changed []savoryconfig.Bucket
+	for _, part := range change.Parts {
+		changed = append(changed, part.Buckets...)
+	}
+	_, err := c.assemble(ctx, next, changed, keeper)
+	return err
+}
+
+// assemble builds the snapshot of root from given buckets, those that are held
+// here and those of the store.
+func (c *configStore) assemble(ctx context.Context, root *savoryconfig.Root, given []savoryconfig.Bucket, keeper *configKeeper) (*savoryconfig.Snapshot, error) {
+	buckets, err := keeper.collect(root, given, c.fetch(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return savoryconfig.Assemble(root, func(id savoryconfig.BucketID) (savoryconfig.Bucket, bool) {
+		b, ok := buckets[id]
+		return b, ok
+	})
+}
+
+// alreadyAccepted is the outcome when an earlier try of the submission was
+// applied although its answer was lost.
+func (c *configStore) alreadyAccepted(stored storedRoot, revision uint64) *accepted {
+	root := *stored.root
+	if revision > root.Revision {
+		root.Revision = revision
+	}
+	return &accepted{root: &root}
+}
+
+// currentDocument returns the document of the stored root, from what is in
+// force here as far as possible.
+func (c *configStore) currentDocument(ctx context.Context, stored storedRoot, keeper *configKeeper) (*savoryconfig.Document, error) {
+	if stored.root.Revision == 0 {
+		return new(savoryconfig.Document), nil
+	}
+	if s := keeper.snapshot(); s != nil && s.Revision() == stored.root.Revision {
+		return s.Document, nil
+	}
+	snapshot, err := c.assemble(ctx, stored.root, nil, keeper)
+	if err != nil {
+		return nil, err
+	}
+	return snapshot.Document, nil
+}
+
+// change checks the whole document that results and returns the change.
+func (s *submission) change(root *savoryconfig.Root, current *savoryconfig.Document) (savoryconfig.Change, error) {
+	whole := *current
+	change := savoryconfig.Change{Submission: s.id}
+	for _, section := range savoryconfig.Sections() {
+		read, changed := s.sections[section]
+		if !changed {
+			continue
+		}
+		whole.SetSection(section, s.document)
+		buckets, err := savoryconfig.SplitSection(s.document, section, root.Section(section).Buckets, s.id)
+		if err != nil {
+			return change, savoryverdict.Invalid(string(section), "%v", err)
+		}
+		change.Parts = append(change.Parts, savoryconfig.Part{Section: section, Read: read, Buckets: buckets})
+	}
+	if err := whole.Check(); err != nil {
+		return change, invalidDocument(err)
+	}
+	return change, nil
+}
+
+// writeBuckets writes the buckets of a change that the root does not name yet.
+func (c *configStore) writeBuckets(ctx context.Context, root *savoryconfig.Root, change savoryconfig.Change) ([]savoryconfig.Bucket, error) {
+	named := make(map[savoryconfig.BucketID]bool)
+	for _, id := range root.BucketIDs() {
+		named[id] = true
+	}
+	var fresh []savoryconfig.Bucket
+	for _, part := range change.Parts {
+		for _, b := range part.Buckets {
+			if named[b.ID] {
+				continue
+			}
+			if err := c.store.Put(ctx, bucketPrefix+b.ID.String(), b.Body); err != nil {
+				return nil, err
+			}
+			fresh = append(fresh, b)
+		}
+	}
+	return fresh, nil
+}
+
+// deleteRetired deletes the buckets that the new root no longer remembers. A
+// bucket that stays behind because a call failed does no harm.
+func (c *configStore) deleteRetired(ctx context.Context, old *savoryconfig.Root) {
+	for _, id := range old.Deletable(c.now()) {
+		_ = c.store.Delete(ctx, bucketPrefix+id.String())
+	}
+}
+
+func invalidDocument(err error) error {
+	var input *savoryconfig.InputError
+	if errors.As(err, &input) {
+		return savoryverdict.Invalid(input.Field, "%s", input.Message)
+	}
+	return savoryverdict.Invalid("", "%v", err)
+}
+
+// conflict is the answer to a lost race on the same section. If an earlier
+// write of the submission has an unknown outcome, the section may have been
+// changed since by someone who saw it applied.
+func conflict(err error, unknown bool) error {
+	var c *savoryconfig.ConflictError
+	if !errors.As(err, &c) {
+		return err
+	}
+	verdict := savoryverdict.NotRun
+	if unknown {
+		verdict = savoryverdict.MayHaveRun
+	}
+	return &savoryverdict.Error{
+		Verdict: verdict, Status: http.StatusConflict, Code: "SectionChanged",
+		Field: string(c.Section), Message: c.Error(),
+	}
+}
+
+func submitFailed(unknown bool, cause error) error {
+	if unknown {
+		return &savoryverdict.Error{
+			Verdict: savoryverdict.MayHaveRun, Status: http.StatusServiceUnavailable, Code: "OutcomeUnknown",
+			Message:    "the store did not answer; submit again with the same submission ID to learn the outcome",
+			RetryAfter: submitRetry, Err: cause,
+		}
+	}
+	err := savoryverdict.Unavailable("StoreOut", submitRetry, "the store does not answer; the change was not made")
+	err.Err = cause
+	return fmt.Errorf("submit: %w", err)
+}
--- /dev/null
+++ b/savoryentry/savorynode/listener.go
@@ -0,0 +1,61 @@
+package savorynode
+
+// This file defines the listener that bounds open connections.
+
+import (
+	"net"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// boundedListener accepts connections while fewer than its bound are open.
+type boundedListener struct {
+	net.Listener
+	slots chan struct{}
+	open  prometheus.Gauge
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newBoundedListener(l net.Listener, bound int, open prometheus.Gauge) *boundedListener {
+	return &boundedListener{Listener: l, slots: make(chan struct{}, bound), open: open, done: make(chan struct{})}
+}
+
+// Accept waits for a free slot and a connection.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	l.open.Inc()
+	return &boundedConn{Conn: conn, listener: l}, nil
+}
+
+// Close closes the listener and ends a waiting Accept.
+func (l *boundedListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+// boundedConn gives its slot back when it is closed.
+type boundedConn struct {
+	net.Conn
+	listener *boundedListener
+	once     sync.Once
+}
+
+// Close closes the connection.
+func (c *boundedConn) Close() error {
+	c.once.Do(func() {
+		c.listener.open.Dec()
+		<-c.listener.slots
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/savoryentry/savorynode/node.go
@@ -0,0 +1,399 @@
+// Package savorynode is the process of one entry: three listeners (callers,
+// peers and operators) around the decision tables of the core packages.
+//
+// A Node is built by setting its exported fields and runs until its context
+// ends or it has drained. What lasts stands in the platform's store; a Node
+// keeps nothing on disk.
+package savorynode
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"google.golang.org/grpc/credentials"
+	"gopkg.in/tomb.v2"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savorytls"
+	"savorycart.example/savorycore/savoryvmlist"
+)
+
+const (
+	// peerTimeout bounds a call to another entry.
+	peerTimeout = 2 * time.Second
+	// engineTimeout bounds a call to an engine that is not a run.
+	engineTimeout = 2 * time.Second
+	// dialTimeout bounds the opening of a connection to a backend server.
+	dialTimeout = 500 * time.Millisecond
+	// idleConnections is the number of kept connections to one backend server.
+	idleConnections = 256
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 15 * time.Second
+	// keepAlive is the interval of TCP keepalive probes on each hop.
+	keepAlive = 5 * time.Second
+	// callerIdle is how long an idle connection of a caller stays open.
+	callerIdle = 2 * time.Minute
+)
+
+// Node is one entry. Its exported fields are set before Run.
+type Node struct {
+	Settings *Settings
+	Log      log.Interface
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
+	// Rand gives the random numbers of the decisions; nil means a random seed.
+	Rand *rand.Rand
+	// Listeners, where set, are used in place of the addresses of the settings.
+	Listeners Listeners
+
+	tomb      tomb.Tomb
+	drainOnce sync.Once
+	drainNow  chan struct{}
+	stopNow   chan struct{}
+	stopOnce  sync.Once
+	initOnce  sync.Once
+	draining  atomic.Bool
+
+	metrics *metrics
+	tables  *tables
+	keeper  *configKeeper
+	spread  *spreader
+	claims  *claimRunner
+	writer  *groupWriter
+	orderer *orderer
+	flights *flights
+	pool    *workerPool
+	callers *callers
+	admin   *admin
+	peers   *savorypeer.Server
+	loaders loaders
+}
+
+// Listeners are open listeners.
+type Listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+type loaders struct {
+	callers *savorytls.Loader
+	peers   *savorytls.Loader
+	admin   *savorytls.Loader
+}
+
+// Run serves until ctx ends or Drain has finished. A planned stop returns nil.
+func (n *Node) Run(ctx context.Context) error {
+	n.init()
+	if err := n.build(); err != nil {
+		return err
+	}
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.Log.WithFields(log.Fields{
+		"callers": n.Listeners.Callers.Addr(), "peers": n.Listeners.Peers.Addr(), "admin": n.Listeners.Admin.Addr(),
+		"zone": n.Settings.Zone, "region": n.Settings.Region,
+	}).Info("entry started")
+	callersServer := n.callersServer()
+	adminServer := &http.Server{Handler: n.admin.handler(), ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout.D()}
+	n.tomb.Go(func() error { return serveHTTP(callersServer, n.Listeners.Callers) })
+	n.tomb.Go(func() error { return serveHTTP(adminServer, n.Listeners.Admin) })
+	n.tomb.Go(func() error { return n.peers.Serve(n.Listeners.Peers) })
+	n.background()
+	n.tomb.Go(func() error {
+		err := n.waitForStop(ctx, callersServer)
+		n.tomb.Kill(err)
+		_ = callersServer.Close()
+		_ = adminServer.Close()
+		n.peers.Stop()
+		n.spread.peers.Close()
+		return err
+	})
+	err := n.tomb.Wait()
+	n.Log.Info("entry stopped")
+	return err
+}
+
+// Drain begins the planned stop: the entry turns unready, refuses new work
+// after the balancer's notice time, and leaves once no request is in flight.
+func (n *Node) Drain() {
+	n.init()
+	n.drainOnce.Do(func() {
+		n.draining.Store(true)
+		close(n.drainNow)
+	})
+}
+
+// Stop ends a drain at once; requests in flight are cut off and logged.
+func (n *Node) Stop() {
+	n.init()
+	n.Drain()
+	n.stopOnce.Do(func() { close(n.stopNow) })
+}
+
+// Revision returns the revision of the configuration in force, or 0.
+func (n *Node) Revision() uint64 {
+	if n.keeper == nil {
+		return 0
+	}
+	return n.keeper.revision()
+}
+
+func (n *Node) init() {
+	n.initOnce.Do(func() {
+		n.drainNow = make(chan struct{})
+		n.stopNow = make(chan struct{})
+	})
+}
+
+// waitForStop waits for a drain, or for ctx, and carries the drain out.
+func (n *Node) waitForStop(ctx context.Context, server *http.Server) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.tomb.Dying():
+		return nil
+	case <-n.drainNow:
+	}
+	n.Log.WithField("notice", n.Settings.Stop.NoticeTime.D()).Info("draining; the entry is not ready")
+	n.waitOrStop(ctx, n.Settings.Stop.NoticeTime.D(), nil)
+	empty := n.flights.close()
+	server.SetKeepAlivesEnabled(false)
+	n.Log.WithField("inFlight", n.flights.count()).Info("new requests are refused")
+	n.waitOrStop(ctx, n.Settings.Stop.Limit.D(), empty)
+	if cut := n.flights.count(); cut > 0 {
+		n.Log.WithField("cut", cut).Error("stopped with requests in flight")
+		return nil
+	}
+	// The answers are written; Shutdown lets the connections take them.
+	shutdown, cancel := context.WithTimeout(ctx, n.Settings.Callers.WriteTimeout.D())
+	defer cancel()
+	_ = server.Shutdown(shutdown)
+	return nil
+}
+
+// waitOrStop waits for d, for done, for ctx or for Stop.
+func (n *Node) waitOrStop(ctx context.Context, d time.Duration, done <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-done:
+	case <-ctx.Done():
+	case <-n.stopNow:
+	}
+}
+
+// ready returns why the entry should get no requests, or nil.
+func (n *Node) ready() error {
+	switch {
+	case n.draining.Load():
+		return errors.New("draining")
+	case n.keeper.snapshot() == nil:
+		return errors.New("no configuration is in force yet")
+	case n.spread.cutOff(n.Now()):
+		return fmt.Errorf("no contact to the store or to a peer for %s", cutOffAfter)
+	default:
+		return nil
+	}
+}
+
+// build makes the parts of the entry.
+func (n *Node) build() error {
+	if n.Now == nil {
+		n.Now = time.Now
+	}
+	if n.Rand == nil {
+		n.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if err := n.loadTLS(); err != nil {
+		return err
+	}
+	s := n.Settings
+	n.metrics = newMetrics()
+	n.flights = newFlights()
+	n.pool = newWorkerPool()
+	store := &savorystore.Store{Address: s.Platform.Store, Timeout: s.Platform.StoreTimeout.D(), Called: n.metrics.storeCalled}
+	n.tables = n.buildTables()
+	n.keeper = &configKeeper{log: n.Log, now: n.Now, metrics: n.metrics, inForce: func(snapshot *savoryconfig.Snapshot) {
+		n.tables.loadSnapshot(snapshot, n.Now())
+	}}
+	config := &configStore{store: store, now: n.Now}
+	n.spread = n.buildSpreader(store, config)
+	n.writer = newGroupWriter(store)
+	n.claims = &claimRunner{store: store, writer: n.writer, log: n.Log, now: n.Now, metrics: n.metrics, pool: n.pool}
+	n.buildRunners()
+	n.admin = &admin{
+		settings: s, log: n.Log, now: n.Now, keeper: n.keeper, config: config, store: store, tables: n.tables,
+		spread: n.spread, metrics: n.metrics, flights: n.flights, ready: n.ready, drain: n.Drain,
+	}
+	n.orderer = &orderer{
+		settings: s.Orders, region: s.Region, name: s.Peers.Address.String(), store: store,
+		engines: &savoryengine.Client{Transport: transport(false), CallTimeout: engineTimeout},
+		keeper:  n.keeper, log: n.Log, now: n.Now, metrics: n.metrics,
+	}
+	n.peers = &savorypeer.Server{Exchange: n.spread.handleExchange, Offer: n.spread.handleOffer, Fetch: n.spread.handleFetch}
+	if n.loaders.peers != nil {
+		n.peers.Credentials = credentials.NewTLS(n.loaders.peers.ServerConfig(true))
+	}
+	n.peers.Prepare()
+	return nil
+}
+
+func (n *Node) self() savorymember.Peer {
+	return savorymember.Peer{Address: n.Settings.Peers.Address, Zone: n.Settings.Zone, Region: n.Settings.Region}
+}
+
+func (n *Node) buildTables() *tables {
+	t := new(tables)
+	self := n.self()
+	t.members.value.table = savorymember.Table{Self: self, Rand: rand.New(rand.NewPCG(n.Rand.Uint64(), n.Rand.Uint64()))}
+	t.limits.value.limiter = savorylimit.Limiter{Entry: self.Name()}
+	t.chains.value = savorychain.Table{
+		Entry: self.Name(), Zone: self.Zone, Rand: n.Rand,
+		Sample: savorychain.DefaultSample, Subset: savorychain.DefaultSubset,
+	}
+	return t
+}
+
+func (n *Node) buildSpreader(store *savorystore.Store, config *configStore) *spreader {
+	client := &savorypeer.Client{Timeout: peerTimeout}
+	if n.loaders.peers != nil {
+		client.Credentials = credentials.NewTLS(n.loaders.peers.ClientConfig())
+	}
+	return &spreader{
+		self: n.self(), log: n.Log, now: n.Now, tables: n.tables, keeper: n.keeper, config: config, store: store,
+		vms:   &savoryvmlist.Client{Address: n.Settings.Platform.VMList, Timeout: n.Settings.Platform.StoreTimeout.D()},
+		peers: client, metrics: n.metrics, home: n.Settings.Platform.ConfigHome, draining: &n.draining, pool: n.pool,
+	}
+}
+
+func (n *Node) buildRunners() {
+	n.callers = &callers{
+		settings: n.Settings, log: n.Log, now: n.Now, keeper: n.keeper, tables: n.tables,
+		metrics: n.metrics, flights: n.flights,
+	}
+	n.callers.pipelines = &pipelineRunner{
+		callers: n.callers, spread: n.spread, pool: n.pool,
+		engines: &savoryengine.Client{Transport: transport(true), CallTimeout: engineTimeout},
+		probes:  &savoryengine.Client{Transport: transport(false), CallTimeout: engineTimeout},
+	}
+	n.callers.services = &serviceRunner{
+		callers: n.callers, claims: n.claims, region: n.Settings.Region, entry: n.self().Name(),
+		pooled: transport(true), fresh: transport(false),
+	}
+}
+
+// background starts the loops.
+func (n *Node) background() {
+	n.pool.run(&n.tomb)
+	n.writer.run(&n.tomb)
+	n.tomb.Go(func() error { return n.claims.leaseLoop(&n.tomb) })
+	n.spread.run(&n.tomb)
+	if n.Settings.Orders.Enabled {
+		n.tomb.Go(func() error { return n.orderer.run(&n.tomb) })
+	}
+}
+
+// transport returns a transport to backend servers that keeps connections, or
+// opens one for each request.
+func transport(keep bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   !keep,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// listen opens the listeners that are not given.
+func (n *Node) listen() error {
+	open := func(l net.Listener, address netip.AddrPort) (net.Listener, error) {
+		if l != nil {
+			return l, nil
+		}
+		config := net.ListenConfig{KeepAlive: keepAlive}
+		opened, err := config.Listen(context.Background(), "tcp", address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		return opened, nil
+	}
+	var err error
+	if n.Listeners.Callers, err = open(n.Listeners.Callers, n.Settings.Callers.Address); err != nil {
+		return err
+	}
+	if n.Listeners.Peers, err = open(n.Listeners.Peers, n.Settings.Peers.Address); err != nil {
+		return err
+	}
+	if n.Listeners.Admin, err = open(n.Listeners.Admin, n.Settings.Admin.Address); err != nil {
+		return err
+	}
+	n.Listeners.Callers = newBoundedListener(n.Listeners.Callers, n.Settings.Callers.MaxConnections, n.metrics.connections)
+	n.Listeners.Callers = withTLS(n.Listeners.Callers, n.loaders.callers)
+	n.Listeners.Admin = withTLS(n.Listeners.Admin, n.loaders.admin)
+	return nil
+}
+
+func withTLS(l net.Listener, loader *savorytls.Loader) net.Listener {
+	if loader == nil {
+		return l
+	}
+	return tls.NewListener(l, loader.ServerConfig(false))
+}
+
+func (n *Node) loadTLS() error {
+	load := func(files savorytls.Files) (*savorytls.Loader, error) {
+		if files.Certificate == "" {
+			return nil, nil
+		}
+		l := &savorytls.Loader{Files: files, Failed: func(err error) { n.Log.WithError(err).Error("changed certificate not loaded") }}
+		return l, l.Load()
+	}
+	var err error
+	if n.loaders.callers, err = load(n.Settings.Callers.TLS); err != nil {
+		return fmt.Errorf("Callers.TLS: %w", err)
+	}
+	if n.loaders.peers, err = load(n.Settings.Peers.TLS); err != nil {
+		return fmt.Errorf("Peers.TLS: %w", err)
+	}
+	if n.loaders.admin, err = load(n.Settings.Admin.TLS); err != nil {
+		return fmt.Errorf("Admin.TLS: %w", err)
+	}
+	return nil
+}
+
+func (n *Node) callersServer() *http.Server {
+	return &http.Server{
+		Handler:           n.callers.handler(),
+		ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout.D(),
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    n.Settings.Callers.MaxHeaderBytes,
+	}
+}
+
+func serveHTTP(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("listener %s: %w", l.Addr(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/savoryentry/savorynode/orders.go
@@ -0,0 +1,178 @@
+package savorynode
+
+// This file defines orderer, which holds the orderer's lease and sends orders
+// to engines.
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryorder"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// ordererPrefix begins the store key of a region's orderer.
+	ordererPrefix = "savorycart/orderer/"
+	// orderInterval is the time between two rounds of orders.
+	orderInterval = time.Second
+	// statusInFlight bounds the engines that are asked for their status at a
+	// time.
+	statusInFlight = 16
+	// marginPart is the part of the lease's time by which the tenure ends
+	// earlier here.
+	marginPart = 3
+)
+
+// orderer is the plumbing around savoryorder.
+type orderer struct {
+	settings OrderSettings
+	region   string
+	name     string
+	store    *savorystore.Store
+	engines  *savoryengine.Client
+	keeper   *configKeeper
+	log      log.Interface
+	now      func() time.Time
+	metrics  *metrics
+
+	tenure  savoryorder.Tenure
+	planner savoryorder.Planner
+	lease   int64
+}
+
+// run competes for the lease and gives orders until t dies.
+func (o *orderer) run(t *tomb.Tomb) error {
+	o.tenure.Margin = o.settings.LeaseTime.D() / marginPart
+	o.planner.MaxLoading = o.settings.MaxLoading
+	for {
+		ctx := t.Context(context.Background())
+		if o.hold(ctx) {
+			o.round(ctx)
+		}
+		if !sleep(t, orderInterval) {
+			o.giveUp()
+			return nil
+		}
+	}
+}
+
+// hold takes or renews the lease and reports whether orders may be sent.
+func (o *orderer) hold(ctx context.Context) bool {
+	asked := o.now()
+	if _, held := o.tenure.Fence(asked); held {
+		o.renew(ctx, asked)
+	} else {
+		o.take(ctx, asked)
+	}
+	_, held := o.tenure.Fence(o.now())
+	return held
+}
+
+func (o *orderer) renew(ctx context.Context, asked time.Time) {
+	lease, err := o.store.KeepAlive(ctx, o.lease)
+	switch {
+	case savorystore.LeaseGone(err):
+		o.log.Warn("orderer's lease lost")
+		o.tenure.Lost()
+	case err == nil:
+		o.tenure.Renewed(asked, lease.TTL)
+	}
+}
+
+// take tries to become the orderer. The lease is bound to the key, so the key
+// vanishes with it.
+func (o *orderer) take(ctx context.Context, asked time.Time) {
+	key := ordererPrefix + o.region
+	current, err := o.store.Get(ctx, key)
+	if err != nil || current.Found() {
+		return
+	}
+	lease, err := o.store.Grant(ctx, o.settings.LeaseTime.D())
+	if err != nil {
+		return
+	}
+	result, err := o.store.Swap(ctx, savorystore.Swap{Key: key, Body: []byte(o.name), Lease: lease.ID})
+	if err != nil || !result.Won {
+		// If the write was applied but its answer lost, revoking the lease
+		// deletes the key again.
+		_ = o.store.Revoke(ctx, lease.ID)
+		return
+	}
+	o.lease = lease.ID
+	o.tenure.Took(result.Revision, asked, lease.TTL)
+	o.log.WithField("fence", result.Revision).Info("orderer's lease taken")
+}
+
+func (o *orderer) giveUp() {
+	if _, held := o.tenure.Fence(o.now()); held {
+		_ = o.store.Revoke(context.Background(), o.lease)
+	}
+	o.tenure.Lost()
+}
+
+// round reads the engines' status and sends the orders that are due.
+func (o *orderer) round(ctx context.Context) {
+	snapshot := o.keeper.snapshot()
+	if snapshot == nil {
+		return
+	}
+	o.observe(ctx, snapshot.Document.BackendServers)
+	for _, order := range o.planner.Plan(snapshot.Document.BackendServers, o.now()) {
+		o.send(ctx, order)
+	}
+}
+
+// observe reads the status of all engines.
+func (o *orderer) observe(ctx context.Context, servers []savoryworld.BackendServer) {
+	type answer struct {
+		server string
+		status savoryengine.Status
+		err    error
+	}
+	answers := make(chan answer)
+	slots := make(chan struct{}, statusInFlight)
+	asked := 0
+	for _, server := range servers {
+		if !server.IsEngine() {
+			continue
+		}
+		asked++
+		go func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			status, err := o.engines.Status(ctx, server.Address)
+			answers <- answer{server: server.Name, status: status, err: err}
+		}()
+	}
+	for range asked {
+		if a := <-answers; a.err == nil {
+			o.planner.Observe(a.server, a.status, o.now())
+		}
+	}
+}
+
+// send sends one order. The lease is checked immediately before.
+func (o *orderer) send(ctx context.Context, order savoryorder.Order) {
+	fence, held := o.tenure.Fence(o.now())
+	if !held {
+		o.metrics.orders.WithLabelValues("not held").Inc()
+		return
+	}
+	err := o.engines.Order(ctx, order.Server.Address, savoryengine.Order{Fence: fence, Wanted: order.Wanted})
+	result := "sent"
+	if err != nil {
+		result = "refused"
+	}
+	o.metrics.orders.WithLabelValues(result).Inc()
+	o.log.WithFields(log.Fields{
+		"server": order.Server.Name, "model": order.Wanted.Model, "version": order.Wanted.Version, "adapter": order.Wanted.Adapter,
+		"layers": order.Wanted.Layers.String(), "held": order.Holds.Layers.String(), "try": order.Try, "fence": fence,
+		"ignoresFence": order.Server.IgnoresFence, "result": result, "reason": "differs from the configuration",
+	}).Info("engine ordered")
+}
--- /dev/null
+++ b/savoryentry/savorynode/pipeline.go
@@ -0,0 +1,425 @@
+package savorynode
+
+// This file defines pipelineRunner, which serves completions over chains of
+// engines and moves a request to another chain when one fails.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorystream"
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+const (
+	// maxAttempts bounds the chains that one request is run on.
+	maxAttempts = 6
+	// stallFactor is the number of between-token times without a token after
+	// which a chain counts as stalled.
+	stallFactor = 8
+	// minStall is the shortest stall that is acted on.
+	minStall = 300 * time.Millisecond
+	// firstStallFactor is the number of first-token times after which an
+	// attempt without any token counts as stalled.
+	firstStallFactor = 2
+	// probeTimeout bounds the probe of a server of a stalled chain.
+	probeTimeout = 300 * time.Millisecond
+	// overloadRetry is the least time after which a caller may ask again.
+	overloadRetry = 500 * time.Millisecond
+)
+
+// errStalled says that a chain made no progress in time.
+var errStalled = errors.New("the chain made no progress")
+
+// errCallerGone says that the caller took no more of the answer.
+var errCallerGone = errors.New("the caller left")
+
+// pipelineRunner is the plumbing around savorychain and savorystream.
+type pipelineRunner struct {
+	callers *callers
+	engines *savoryengine.Client
+	// probes opens a new connection for each call, so that a silent connection
+	// does not condemn a server that works.
+	probes *savoryengine.Client
+	spread *spreader
+	pool   *workerPool
+}
+
+// generation is one request while it is served.
+type generation struct {
+	*call
+	c        *completion
+	sequence *savorystream.Sequence
+	// token hands an accepted token to the caller.
+	token func(*savoryengine.Token) error
+
+	avoid []string
+	// ranBefore says that an attempt may have run.
+	ranBefore bool
+	startedAt time.Time
+	lastAt    time.Time
+	failedAt  time.Time
+	finish    string
+}
+
+func (p *pipelineRunner) serveCompletion(w http.ResponseWriter, r *http.Request, cl *call) error {
+	return p.serve(w, r, cl, false)
+}
+
+func (p *pipelineRunner) serveChat(w http.ResponseWriter, r *http.Request, cl *call) error {
+	return p.serve(w, r, cl, true)
+}
+
+// serve answers one completion.
+func (p *pipelineRunner) serve(w http.ResponseWriter, r *http.Request, cl *call, chat bool) error {
+	body, err := p.callers.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	c, err := parseCompletion(body, chat, cl)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(cl.customer.Pipelines, c.pipeline.Name) {
+		return notAllowed("model", "the customer may not use model %s", c.pipeline.Name)
+	}
+	now := p.callers.now()
+	reserved := c.promptTokens + c.maxTokens
+	done, err := p.callers.tables.admitContract(cl.customer, reserved, now)
+	if err != nil {
+		return err
+	}
+	g := &generation{
+		call: cl, c: c, startedAt: now, lastAt: now,
+		sequence: &savorystream.Sequence{Request: cl.id, Layers: c.pipeline.Layers},
+	}
+	defer func() { done(c.maxTokens - len(g.sequence.Emitted())) }()
+	form := &answerForm{id: cl.id, created: now.Unix(), c: c}
+	if c.stream {
+		return p.stream(w, r, g, form)
+	}
+	return p.collect(w, r, g, form)
+}
+
+// collect serves an answer that is not streamed.
+func (p *pipelineRunner) collect(w http.ResponseWriter, r *http.Request, g *generation, form *answerForm) error {
+	g.token = func(*savoryengine.Token) error { return nil }
+	if err := p.generate(r.Context(), g); err != nil {
+		return err
+	}
+	tokens := g.sequence.Emitted()
+	w.Header().Set(headerVerdict, string(savoryverdict.Ran))
+	writeJSON(w, http.StatusOK, form.whole(strings.Join(tokens, ""), g.finish, len(tokens)))
+	return nil
+}
+
+// stream serves an answer as server-sent events. The header is sent with the
+// first token, so that a failure before it has its own status. A failure after
+// it is an error event, and no event says that the answer is whole.
+func (p *pipelineRunner) stream(w http.ResponseWriter, r *http.Request, g *generation, form *answerForm) error {
+	out, _ := w.(*answerWriter)
+	g.token = func(t *savoryengine.Token) error {
+		first := !out.started
+		if first {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Cache-Control", "no-cache")
+			w.WriteHeader(http.StatusOK)
+		}
+		if err := writeEvent(w, form.chunk(t.Text, t.Finish, first)); err != nil {
+			return err
+		}
+		return out.flush()
+	}
+	if err := p.generate(r.Context(), g); err != nil {
+		if out.started {
+			_ = writeEvent(w, newErrorBody(savoryverdict.Wrap(err)))
+			_ = out.flush()
+			out.cut = true
+		}
+		return err
+	}
+	if g.c.usage {
+		if err := writeEvent(w, form.usageChunk(len(g.sequence.Emitted()))); err != nil {
+			return err
+		}
+	}
+	if _, err := fmt.Fprint(w, "data: [DONE]\n\n"); err != nil {
+		return err
+	}
+	return out.flush()
+}
+
+// generate runs attempts until the answer is whole or no further attempt is
+// allowed.
+func (p *pipelineRunner) generate(ctx context.Context, g *generation) error {
+	for attempt := 1; ; attempt++ {
+		choice, err := p.choose(g)
+		if err != nil {
+			return p.failed(g, err)
+		}
+		err = p.attempt(ctx, g, choice)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, errCallerGone) || callerGone(ctx) {
+			return &savoryverdict.Error{
+				Verdict: savoryverdict.MayHaveRun, Status: http.StatusBadRequest, Code: "CallerLeft",
+				Message: "the caller left before the answer was whole", Err: err,
+			}
+		}
+		p.blame(g, choice, err)
+		if attempt == maxAttempts || !p.callers.tables.mayRetry(p.callers.now()) {
+			return p.failed(g, err)
+		}
+		p.callers.metrics.retries.WithLabelValues("pipeline").Inc()
+	}
+}
+
+// choose picks the chain of the next attempt.
+func (p *pipelineRunner) choose(g *generation) (savorychain.Choice, error) {
+	now := p.callers.now()
+	emitted := len(g.sequence.Emitted())
+	req := savorychain.Request{
+		Pipeline:     g.c.pipeline,
+		PromptTokens: g.c.promptTokens + emitted,
+		AnswerTokens: g.c.maxTokens - emitted,
+		Prefix:       g.c.prefix,
+		PrefixTokens: prefixTokens,
+		Avoid:        g.avoid,
+	}
+	choice, err := p.callers.tables.chooseChain(req, now)
+	if err != nil {
+		return choice, err
+	}
+	g.log.WithFields(log.Fields{
+		"pipeline": g.c.pipeline.Name, "chain": savorychain.Servers(choice.Chain), "runnerUp": savorychain.Servers(choice.RunnerUp),
+		"firstToken": choice.FirstToken, "betweenTokens": choice.BetweenTokens, "looked": choice.Looked,
+		"from": emitted, "avoided": strings.Join(g.avoid, ","), "reason": "least estimated time",
+	}).Info("chain chosen")
+	return choice, nil
+}
+
+// attempt runs one attempt on a chain. It returns nil once the answer is whole.
+func (p *pipelineRunner) attempt(ctx context.Context, g *generation, choice savorychain.Choice) error {
+	tokens := g.c.promptTokens + len(g.sequence.Emitted())
+	if !p.callers.tables.sent(choice.Chain, tokens) {
+		return &savoryengine.FaultError{Verdict: savoryverdict.NotRun, Message: "a server of the chain began to leave"}
+	}
+	promptDone := p.accounting(choice.Chain, tokens)
+	defer func() {
+		promptDone()
+		p.callers.tables.chains.with(func(t *savorychain.Table) { t.Finished(choice.Chain) })
+	}()
+	number := g.sequence.Begin(choice.Chain)
+	run := &savoryengine.Run{
+		Request: g.id, Attempt: number, Model: g.c.pipeline.Model, Version: g.c.pipeline.Version,
+		Layers: g.c.pipeline.Layers, Chain: choice.Chain, Prompt: g.c.prompt,
+		Emitted: slices.Clone(g.sequence.Emitted()), MaxTokens: g.c.maxTokens,
+		Priority: g.customer.Contract.Priority, Sampling: g.c.sampling,
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := newStallTimer(p.firstStall(g, choice), func() { cancel(errStalled) })
+	defer stall.stop()
+	var rejected error
+	err := p.engines.Run(ctx, run, func(e savoryengine.Event) bool {
+		promptDone()
+		stall.reset(p.stall(g, choice))
+		rejected = p.take(g, e.Token)
+		return rejected == nil
+	})
+	switch {
+	case rejected != nil:
+		err = rejected
+	case errors.Is(context.Cause(ctx), errStalled):
+		err = errStalled
+	}
+	if err == nil && !g.sequence.Finished() {
+		err = errors.New("the answer ended early")
+	}
+	if err != nil {
+		p.abandon(choice.Chain[0], savoryengine.Cancel{Request: g.id, Attempt: number})
+	}
+	return err
+}
+
+// accounting returns a function that records once that the prompt was run.
+func (p *pipelineRunner) accounting(chain []savoryengine.Hop, tokens int) func() {
+	done := false
+	return func() {
+		if done {
+			return
+		}
+		done = true
+		p.callers.tables.chains.with(func(t *savorychain.Table) { t.PromptDone(chain, tokens) })
+	}
+}
+
+// take decides on one token and hands it to the caller if it is accepted.
+func (p *pipelineRunner) take(g *generation, t *savoryengine.Token) error {
+	outcome, err := g.sequence.Take(t)
+	switch outcome {
+	case savorystream.Drop:
+		p.callers.metrics.tokens.WithLabelValues("dropped").Inc()
+		return nil
+	case savorystream.Reject:
+		p.callers.metrics.tokens.WithLabelValues("rejected").Inc()
+		g.log.WithError(err).Error("token rejected")
+		return fmt.Errorf("chain broke a rule: %w", err)
+	default:
+	}
+	p.observe(g, t)
+	if err := g.token(t); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+// observe records times and load reports of an accepted token.
+func (p *pipelineRunner) observe(g *generation, t *savoryengine.Token) {
+	m := p.callers.metrics
+	now := p.callers.now()
+	m.tokens.WithLabelValues("accepted").Inc()
+	if t.Index == 0 {
+		m.observe(m.firstToken, now.Sub(g.startedAt))
+	} else {
+		m.observe(m.betweenTokens, now.Sub(g.lastAt))
+	}
+	if !g.failedAt.IsZero() {
+		m.observe(m.recovery, now.Sub(g.lastAt))
+		g.log.WithFields(log.Fields{"index": t.Index, "after": now.Sub(g.lastAt), "sinceDetected": now.Sub(g.failedAt)}).Info("answer resumed")
+		g.failedAt = time.Time{}
+	}
+	g.lastAt = now
+	g.finish = t.Finish
+	p.callers.tables.chains.with(func(table *savorychain.Table) {
+		for _, load := range t.Loads {
+			table.Report(load, now)
+		}
+		for _, stage := range t.Ran {
+			table.Succeeded(stage.Server)
+		}
+		if t.Index == 0 {
+			table.Ran(g.c.prefix, g.sequence.Chain())
+		}
+	})
+}
+
+// blame records who failed. A stage that names itself, or is named, is avoided
+// and suspected. If the chain only stalled, its servers are avoided by this
+// request and probed on new connections: one that answers is not suspected.
+func (p *pipelineRunner) blame(g *generation, choice savorychain.Choice, err error) {
+	now := p.callers.now()
+	if g.failedAt.IsZero() {
+		g.failedAt = now
+	}
+	var fault *savoryengine.FaultError
+	server := ""
+	if errors.As(err, &fault) {
+		server = fault.Server
+	}
+	if fault == nil || fault.Verdict != savoryverdict.NotRun {
+		g.ranBefore = true
+	}
+	g.log.WithError(err).WithFields(log.Fields{
+		"chain": savorychain.Servers(choice.Chain), "server": server, "emitted": len(g.sequence.Emitted()),
+	}).Warn("attempt failed")
+	if fault != nil && fault.Leaving {
+		mark := savorymember.Mark{Server: server, Source: savorymember.FromServer, Leaving: true, At: now}
+		p.pool.submit(func() { p.spread.announceMarks(context.Background(), []savorymember.Mark{mark}) })
+	}
+	if server != "" {
+		g.avoid = appendMissing(g.avoid, server)
+		p.callers.tables.chains.with(func(t *savorychain.Table) { t.Failed(server, now) })
+		return
+	}
+	for _, hop := range choice.Chain {
+		g.avoid = appendMissing(g.avoid, hop.Server)
+		p.pool.submit(func() { p.probe(hop) })
+	}
+}
+
+// probe asks a server of a stalled chain for its status on a new connection.
+func (p *pipelineRunner) probe(hop savoryengine.Hop) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if _, err := p.probes.Status(ctx, hop.Address); err == nil {
+		return
+	}
+	now := p.callers.now()
+	p.callers.tables.chains.with(func(t *savorychain.Table) { t.Failed(hop.Server, now) })
+	p.callers.log.WithField("server", hop.Server).Warn("backend server does not answer a probe")
+}
+
+// abandon asks an engine to stop an attempt, on a new connection.
+func (p *pipelineRunner) abandon(first savoryengine.Hop, cancel savoryengine.Cancel) {
+	p.pool.submit(func() {
+		ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
+		defer stop()
+		_ = p.probes.Cancel(ctx, first.Address, cancel)
+	})
+}
+
+// failed returns the error for the caller. Without a token the verdict is that
+// of the last attempt only if each attempt was not run.
+func (p *pipelineRunner) failed(g *generation, err error) error {
+	var refused *savoryverdict.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
+	verdict := savoryverdict.MayHaveRun
+	var fault *savoryengine.FaultError
+	noChain := errors.Is(err, savorychain.ErrNoChain)
+	notRun := noChain || (errors.As(err, &fault) && fault.Verdict == savoryverdict.NotRun)
+	if notRun && !g.ranBefore {
+		verdict = savoryverdict.NotRun
+	}
+	failure := &savoryverdict.Error{
+		Verdict: verdict, Status: http.StatusBadGateway, Code: "PipelineFailed",
+		Message: "the pipeline failed; the answer is not whole", RetryAfter: overloadRetry, Err: err,
+	}
+	if noChain {
+		failure.Status = http.StatusServiceUnavailable
+		failure.Code = "NoChain"
+		failure.Message = "no chain of backend servers is available"
+	}
+	return failure
+}
+
+// firstStall returns how long an attempt may take to its first token.
+func (p *pipelineRunner) firstStall(g *generation, choice savorychain.Choice) time.Duration {
+	return max(minStall, firstStallFactor*max(g.c.pipeline.FirstToken.D(), choice.FirstToken))
+}
+
+// stall returns how long a chain may take from token to token.
+func (p *pipelineRunner) stall(g *generation, choice savorychain.Choice) time.Duration {
+	return max(minStall, stallFactor*max(g.c.pipeline.BetweenTokens.D(), choice.BetweenTokens))
+}
+
+func appendMissing(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
+	}
+	return append(names, name)
+}
+
+// stallTimer calls a function when it is not reset in time.
+type stallTimer struct{ timer *time.Timer }
+
+func newStallTimer(d time.Duration, stalled func()) *stallTimer {
+	return &stallTimer{timer: time.AfterFunc(d, stalled)}
+}
+
+func (s *stallTimer) reset(d time.Duration) { s.timer.Reset(d) }
+
+func (s *stallTimer) stop() { s.timer.Stop() }
--- /dev/null
+++ b/savoryentry/savorynode/services.go
@@ -0,0 +1,413 @@
+package savorynode
+
+// This file defines serviceRunner, which routes requests to plain services.
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryclaim"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// defaultServiceTimeout bounds a request of a route that states no time.
+	defaultServiceTimeout = 30 * time.Second
+	// serviceAttempts bounds the servers that one request is sent to.
+	serviceAttempts = 3
+	// noServerRetry is when a caller may ask again for a service without
+	// servers.
+	noServerRetry = 2 * time.Second
+	// copyBytes is the size of the buffer between a service and the caller.
+	copyBytes = 32 << 10
+)
+
+// serviceRunner is the plumbing around savorychain.ChooseService.
+type serviceRunner struct {
+	callers *callers
+	claims  *claimRunner
+	region  string
+	entry   string
+	// pooled carries idempotent requests.
+	pooled http.RoundTripper
+	// fresh opens a new connection for each request. A request that may not be
+	// repeated goes here: on a kept connection that the server just closed its
+	// outcome would be unknown.
+	fresh http.RoundTripper
+}
+
+// serviceCall is one request to a plain service.
+type serviceCall struct {
+	*call
+	route  *savoryworld.Route
+	method string
+	target string
+	header http.Header
+	body   []byte
+}
+
+// serviceAnswer is the begun answer of a server.
+type serviceAnswer struct {
+	resp *http.Response
+	// first holds the part of the body that was read already.
+	first []byte
+	// whole says that first is the whole body.
+	whole bool
+	end   func()
+}
+
+// serve routes one request.
+func (s *serviceRunner) serve(w http.ResponseWriter, r *http.Request, cl *call) error {
+	route := cl.snapshot.Route(r.URL.Path)
+	if route == nil {
+		return notFound("Path", "no route serves %s", r.URL.Path)
+	}
+	if len(route.Methods) > 0 && !slices.Contains(route.Methods, r.Method) {
+		w.Header().Set("Allow", strings.Join(route.Methods, ", "))
+		return &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusMethodNotAllowed, Code: "MethodNotAllowed",
+			Field: "Method", Message: fmt.Sprintf("route %s does not serve %s", route.Name, r.Method),
+		}
+	}
+	if !slices.Contains(cl.customer.Routes, route.Name) {
+		return notAllowed("Path", "the customer may not use route %s", route.Name)
+	}
+	key, err := idempotencyKey(r, route)
+	if err != nil {
+		return err
+	}
+	body, err := s.callers.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	done, err := s.callers.tables.admitContract(cl.customer, 0, s.callers.now())
+	if err != nil {
+		return err
+	}
+	defer done(0)
+	cl.log = cl.log.WithField("route", route.Name)
+	sc := &serviceCall{
+		call: cl, route: route, method: r.Method, target: r.URL.RequestURI(),
+		header: s.requestHeader(r, cl), body: body,
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), routeTimeout(route))
+	defer cancel()
+	if key == "" || route.Idempotent {
+		return s.servePlain(ctx, w, sc)
+	}
+	return s.serveKeyed(ctx, w, sc, key)
+}
+
+// servePlain sends a request without a claim.
+func (s *serviceRunner) servePlain(ctx context.Context, w http.ResponseWriter, sc *serviceCall) error {
+	answer, err := s.send(ctx, sc)
+	if err != nil {
+		return err
+	}
+	defer answer.close()
+	return s.pass(w, answer)
+}
+
+// serveKeyed sends a request under an idempotency key.
+func (s *serviceRunner) serveKeyed(ctx context.Context, w http.ResponseWriter, sc *serviceCall, key string) error {
+	if sc.customer.HomeRegion != s.region {
+		return &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusMisdirectedRequest, Code: "OtherHomeRegion", Field: headerKey,
+			Message: fmt.Sprintf("the customer's idempotency keys are kept in region %s; this entry is in %s", sc.customer.HomeRegion, s.region),
+		}
+	}
+	sum := sha256.Sum256(sc.body)
+	attempt := &savoryclaim.Attempt{
+		Identity: savoryclaim.Identity{
+			Customer: sc.customer.Name, Route: sc.route.Name, Method: sc.method, Target: sc.target,
+			BodySHA256: hex.EncodeToString(sum[:]),
+		},
+		Entry: s.entry, Nonce: newRequestID(), StoreTries: claimTries,
+		Forward: sc.route.WhenStoreOut == savoryworld.OutageForward,
+	}
+	var live *serviceAnswer
+	action := s.claims.run(ctx, savoryclaim.StoreKey(sc.customer.Name, key), attempt, func() savoryclaim.SendAnswer {
+		var recorded savoryclaim.SendAnswer
+		live, recorded = s.sendKeyed(ctx, sc)
+		return recorded
+	})
+	if live != nil {
+		defer live.close()
+	}
+	s.logClaim(sc, action)
+	switch {
+	case action.Err != nil:
+		return action.Err
+	case action.Replayed:
+		return replay(w, action.Answer)
+	default:
+		return s.pass(w, live)
+	}
+}
+
+// sendKeyed sends the request and reads its answer as far as it is recorded.
+func (s *serviceRunner) sendKeyed(ctx context.Context, sc *serviceCall) (*serviceAnswer, savoryclaim.SendAnswer) {
+	answer, err := s.send(ctx, sc)
+	if err != nil {
+		return nil, savoryclaim.SendAnswer{Err: savoryverdict.Wrap(err)}
+	}
+	if err := answer.readFirst(savoryclaim.MaxAnswerBytes); err != nil {
+		answer.close()
+		return nil, savoryclaim.SendAnswer{Err: savoryverdict.Wrap(fmt.Errorf("read answer: %w", err))}
+	}
+	if !answer.whole {
+		return answer, savoryclaim.SendAnswer{TooLarge: true}
+	}
+	header := make(http.Header)
+	copyHeader(header, answer.resp.Header)
+	return answer, savoryclaim.SendAnswer{Answer: &savoryclaim.Answer{Status: answer.resp.StatusCode, Header: header, Body: answer.first}}
+}
+
+// send sends the request to a server, and to another one while that is allowed:
+// the verdict is NotRun, or the route is idempotent.
+func (s *serviceRunner) send(ctx context.Context, sc *serviceCall) (*serviceAnswer, error) {
+	var avoid []string
+	for try := 1; ; try++ {
+		server, err := s.choose(sc, avoid)
+		if err != nil {
+			return nil, err
+		}
+		answer, err := s.sendTo(ctx, sc, server)
+		if err == nil {
+			return answer, nil
+		}
+		if callerGone(ctx) || try == serviceAttempts || !s.mayRepeat(sc, err) {
+			return nil, err
+		}
+		s.callers.metrics.retries.WithLabelValues("service").Inc()
+		avoid = append(avoid, server.Name)
+	}
+}
+
+// mayRepeat reports whether a failed request may go to another server.
+func (s *serviceRunner) mayRepeat(sc *serviceCall, err error) bool {
+	if savoryverdict.Of(err) != savoryverdict.NotRun && !sc.route.Idempotent {
+		return false
+	}
+	return s.callers.tables.mayRetry(s.callers.now())
+}
+
+// choose picks a server and counts the request as sent to it.
+func (s *serviceRunner) choose(sc *serviceCall, avoid []string) (*savoryworld.BackendServer, error) {
+	var choice savorychain.ServiceChoice
+	var err error
+	now := s.callers.now()
+	s.callers.tables.chains.with(func(t *savorychain.Table) {
+		choice, err = t.ChooseService(sc.route.Service, avoid, now)
+		if err == nil {
+			t.SentService(choice.Server.Name)
+		}
+	})
+	if err != nil {
+		failure := savoryverdict.Unavailable("NoServer", noServerRetry, "no server of service %s is available", sc.route.Service)
+		failure.Err = err
+		return nil, failure
+	}
+	runnerUp := ""
+	if choice.RunnerUp != nil {
+		runnerUp = choice.RunnerUp.Name
+	}
+	sc.log.WithFields(log.Fields{
+		"server": choice.Server.Name, "runnerUp": runnerUp, "avoided": len(avoid), "reason": "fewest requests in flight",
+	}).Info("service server chosen")
+	return choice.Server, nil
+}
+
+// sendTo sends the request to one server.
+func (s *serviceRunner) sendTo(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer) (*serviceAnswer, error) {
+	finished := func() {
+		s.callers.tables.chains.with(func(t *savorychain.Table) { t.FinishedService(server.Name) })
+	}
+	req, err := s.request(ctx, sc, server)
+	if err != nil {
+		finished()
+		return nil, savoryverdict.Invalid("Path", "%v", err)
+	}
+	transport := s.fresh
+	if sc.route.Idempotent {
+		transport = s.pooled
+	}
+	resp, err := transport.RoundTrip(req) //nolint:bodyclose // closed by serviceAnswer.close
+	if err != nil {
+		finished()
+		s.serverFailed(ctx, server.Name)
+		return nil, &savoryverdict.Error{
+			Verdict: savoryengine.DialVerdict(err), Status: http.StatusBadGateway, Code: "BackendServerFailed",
+			Message: "backend server " + server.Name + " did not answer", Err: err,
+		}
+	}
+	s.callers.tables.chains.with(func(t *savorychain.Table) { t.Succeeded(server.Name) })
+	return &serviceAnswer{resp: resp, end: finished}, nil
+}
+
+// serverFailed records a failure unless it was the caller who left.
+func (s *serviceRunner) serverFailed(ctx context.Context, server string) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	now := s.callers.now()
+	s.callers.tables.chains.with(func(t *savorychain.Table) { t.Failed(server, now) })
+}
+
+func (s *serviceRunner) request(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer) (*http.Request, error) {
+	// The body is never nil and cannot be read twice: the transport would
+	// otherwise resend some requests by itself.
+	body := onceBody{bytes.NewReader(sc.body)}
+	req, err := http.NewRequestWithContext(ctx, sc.method, "http://"+server.Address.String()+sc.target, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header = sc.header.Clone()
+	if len(sc.body) > 0 {
+		req.ContentLength = int64(len(sc.body))
+	}
+	return req, nil
+}
+
+// requestHeader returns the header that the server gets. The customer's key
+// stays here.
+func (s *serviceRunner) requestHeader(r *http.Request, cl *call) http.Header {
+	header := make(http.Header)
+	copyHeader(header, r.Header)
+	header.Del("Authorization")
+	header.Del("Expect")
+	header.Set(headerRequestID, cl.id)
+	header.Set(headerCustomer, cl.customer.Name)
+	return header
+}
+
+// pass hands a server's answer to the caller. An answer that breaks off closes
+// the caller's connection.
+func (s *serviceRunner) pass(w http.ResponseWriter, answer *serviceAnswer) error {
+	out, _ := w.(*answerWriter)
+	copyHeader(w.Header(), answer.resp.Header)
+	w.Header().Set(headerVerdict, string(savoryverdict.Ran))
+	if answer.resp.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(answer.resp.ContentLength, 10))
+	}
+	w.WriteHeader(answer.resp.StatusCode)
+	if err := answer.copyTo(out); err != nil {
+		out.cut = true
+		return &savoryverdict.Error{
+			Verdict: savoryverdict.MayHaveRun, Status: http.StatusBadGateway, Code: "AnswerBroken",
+			Message: "the answer broke off", Err: err,
+		}
+	}
+	return nil
+}
+
+// replay writes a recorded answer.
+func replay(w http.ResponseWriter, answer *savoryclaim.Answer) error {
+	copyHeader(w.Header(), answer.Header)
+	w.Header().Set(headerReplayed, "true")
+	w.Header().Set(headerVerdict, string(savoryverdict.Ran))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	_, err := w.Write(answer.Body)
+	return err
+}
+
+func (s *serviceRunner) logClaim(sc *serviceCall, action savoryclaim.Action) {
+	outcome := "sent"
+	switch {
+	case action.Err != nil:
+		outcome = action.Err.Code
+	case action.Replayed:
+		outcome = "replayed"
+	}
+	s.callers.metrics.claims.WithLabelValues(outcome).Inc()
+	sc.log.WithField("outcome", outcome).Info("idempotency key decided")
+}
+
+// readFirst reads up to limit bytes of the body.
+func (a *serviceAnswer) readFirst(limit int) error {
+	first, err := io.ReadAll(io.LimitReader(a.resp.Body, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	a.first = first
+	a.whole = len(first) <= limit
+	return nil
+}
+
+// copyTo writes the body, each part as it arrives.
+func (a *serviceAnswer) copyTo(w *answerWriter) error {
+	if len(a.first) > 0 {
+		if _, err := w.Write(a.first); err != nil {
+			return err
+		}
+	}
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := a.resp.Body.Read(buf)
+		if n > 0 {
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+			if err := w.flush(); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (a *serviceAnswer) close() {
+	_ = a.resp.Body.Close()
+	a.end()
+}
+
+// onceBody is a body that the transport cannot rewind.
+type onceBody struct{ io.Reader }
+
+// Close does nothing.
+func (onceBody) Close() error { return nil }
+
+// idempotencyKey returns the caller's key, or "".
+func idempotencyKey(r *http.Request, route *savoryworld.Route) (string, error) {
+	values := r.Header.Values(headerKey)
+	switch {
+	case len(values) > 1:
+		return "", savoryverdict.Invalid(headerKey, "is given %d times", len(values))
+	case len(values) == 0 && route.KeyRequired:
+		return "", savoryverdict.Invalid(headerKey, "is required by route %s", route.Name)
+	case len(values) == 0:
+		return "", nil
+	}
+	if err := savoryclaim.CheckKey(values[0]); err != nil {
+		return "", savoryverdict.Invalid(headerKey, "%v", err)
+	}
+	return values[0], nil
+}
+
+func routeTimeout(route *savoryworld.Route) time.Duration {
+	if route.Timeout > 0 {
+		return route.Timeout.D()
+	}
+	return defaultServiceTimeout
+}
--- /dev/null
+++ b/savoryentry/savorynode/spread.go
@@ -0,0 +1,462 @@
+package savorynode
+
+// This file defines spreader, which exchanges state with other entries and
+// follows the platform's store and VM list.
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"gopkg.in/tomb.v2"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryvmlist"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// heartbeatInterval is the time between two rounds of heartbeats.
+	heartbeatInterval = time.Second
+	// storePollInterval is the time between two reads of the root by a relay;
+	// it finds what a watch that went silent does not tell.
+	storePollInterval = 2 * time.Second
+	// relayListInterval and otherListInterval are the times between two reads
+	// of the VM list.
+	relayListInterval = time.Second
+	otherListInterval = 5 * time.Second
+	// watchPause is the pause before a broken watch is opened again.
+	watchPause = 250 * time.Millisecond
+	// cutOffAfter is the time without any contact to the store or to a peer
+	// after which the entry is not ready: it cannot learn of changes.
+	cutOffAfter = 5 * time.Second
+	// markPrefix begins the store keys of operators' leaving marks.
+	markPrefix = "savorycart/leaving/"
+	// watchPrefix covers the root and the marks.
+	watchPrefix = "savorycart/"
+)
+
+// spreader is the plumbing around savorymember and savorypeer.
+type spreader struct {
+	self     savorymember.Peer
+	log      log.Interface
+	now      func() time.Time
+	tables   *tables
+	keeper   *configKeeper
+	config   *configStore
+	store    *savorystore.Store
+	vms      *savoryvmlist.Client
+	peers    *savorypeer.Client
+	metrics  *metrics
+	home     bool
+	draining *atomic.Bool
+	pool     *workerPool
+
+	// storeAt and peerAt are the times of the last contact, in Unix
+	// nanoseconds.
+	storeAt atomic.Int64
+	peerAt  atomic.Int64
+	// listed is the number of other entries that the platform lists.
+	listed atomic.Int64
+}
+
+// run keeps the loops going until t dies.
+func (s *spreader) run(t *tomb.Tomb) {
+	s.storeAt.Store(s.now().UnixNano())
+	t.Go(func() error { return s.heartbeatLoop(t) })
+	t.Go(func() error { return s.listLoop(t) })
+	if s.home {
+		t.Go(func() error { return s.pollLoop(t) })
+		t.Go(func() error { return s.watchLoop(t) })
+	}
+}
+
+// cutOff reports whether the entry has had no contact to the store or a peer
+// for too long. An entry without listed peers is never cut off: nobody else
+// can accept a change that it does not see.
+func (s *spreader) cutOff(now time.Time) bool {
+	if s.listed.Load() == 0 {
+		return false
+	}
+	last := max(s.storeAt.Load(), s.peerAt.Load())
+	return now.Sub(time.Unix(0, last)) > cutOffAfter
+}
+
+func (s *spreader) heartbeatLoop(t *tomb.Tomb) error {
+	for {
+		s.heartbeats(t)
+		if !sleep(t, heartbeatInterval) {
+			return nil
+		}
+	}
+}
+
+// heartbeats starts one round.
+func (s *spreader) heartbeats(t *tomb.Tomb) {
+	now := s.now()
+	s.tables.expireMarks(now)
+	hello := s.hello(now)
+	var targets []savorymember.Peer
+	live := 0
+	s.tables.members.with(func(m *memberState) {
+		targets = m.table.HeartbeatTargets(now)
+		live = len(m.table.Live(now))
+	})
+	s.metrics.peersLive.Set(float64(live))
+	traffic := s.peers.Traffic()
+	s.metrics.peerBytes.WithLabelValues("sent").Set(float64(traffic.SentBytes))
+	s.metrics.peerBytes.WithLabelValues("received").Set(float64(traffic.ReceivedBytes))
+	for _, peer := range targets {
+		s.pool.submit(func() { s.heartbeat(t.Context(context.Background()), peer, hello) })
+	}
+}
+
+// hello returns what this entry tells of itself.
+func (s *spreader) hello(now time.Time) *savorypeer.Hello {
+	_, digest := s.tables.allMarks(now)
+	hello := &savorypeer.Hello{
+		Address: s.self.Address, Zone: s.self.Zone, Region: s.self.Region,
+		Draining: s.draining.Load(), Revision: s.keeper.revision(), MarkDigest: digest,
+	}
+	s.tables.limits.with(func(l *limitState) { hello.Demands = l.limiter.Announce(now) })
+	return hello
+}
+
+// heartbeat exchanges heartbeats with one peer and fetches what it has newer.
+func (s *spreader) heartbeat(ctx context.Context, peer savorymember.Peer, hello *savorypeer.Hello) {
+	answer, err := s.peers.Exchange(ctx, peer.Address, hello)
+	if err != nil {
+		s.tables.members.with(func(m *memberState) { m.table.Missed(peer.Address) })
+		return
+	}
+	s.heard(answer)
+	s.catchUp(ctx, answer)
+}
+
+// heard records what a peer told of itself.
+func (s *spreader) heard(hello *savorypeer.Hello) {
+	now := s.now()
+	s.peerAt.Store(now.UnixNano())
+	s.tables.members.with(func(m *memberState) { m.table.Heard(hello.Peer(), hello.Draining, now) })
+	s.tables.limits.with(func(l *limitState) { l.limiter.Heard(hello.Address.String(), hello.Demands) })
+}
+
+// catchUp fetches from a peer what it has and this entry lacks.
+func (s *spreader) catchUp(ctx context.Context, hello *savorypeer.Hello) {
+	_, digest := s.tables.allMarks(s.now())
+	want := &savorypeer.Fetch{
+		Root:  hello.Revision > s.keeper.revision(),
+		Marks: hello.MarkDigest != digest,
+	}
+	if !want.Root && !want.Marks {
+		return
+	}
+	state, err := s.peers.Fetch(ctx, hello.Address, want)
+	if err != nil {
+		return
+	}
+	s.takeMarks(ctx, state.Marks)
+	if len(state.Root) > 0 {
+		s.takeRoot(ctx, state.Root, nil, hello.Address)
+	}
+}
+
+// takeRoot puts a root from a peer in force and hands it on.
+func (s *spreader) takeRoot(ctx context.Context, body []byte, given []savoryconfig.Bucket, from netip.AddrPort) {
+	root, err := savoryconfig.DecodeRoot(body)
+	if err != nil {
+		s.log.WithError(err).WithField("peer", from).Error("root refused")
+		return
+	}
+	fresh, err := s.keeper.apply(root, given, s.fetchFromPeer(ctx, from), "peer "+from.String())
+	if err != nil {
+		s.log.WithError(err).WithField("peer", from).Error("revision refused")
+		return
+	}
+	if fresh {
+		s.offer(ctx, body, given, nil, false)
+	}
+}
+
+// fetchFromPeer returns a fetcher that asks a peer in parts.
+func (s *spreader) fetchFromPeer(ctx context.Context, from netip.AddrPort) bucketFetcher {
+	return func(ids []savoryconfig.BucketID) ([]savoryconfig.Bucket, error) {
+		var buckets []savoryconfig.Bucket
+		for len(ids) > 0 {
+			n := min(len(ids), savorypeer.MaxBuckets)
+			state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Buckets: ids[:n]})
+			if err != nil {
+				return nil, err
+			}
+			buckets = append(buckets, state.Buckets...)
+			ids = ids[n:]
+		}
+		return buckets, nil
+	}
+}
+
+// takeMarks merges marks and hands news on.
+func (s *spreader) takeMarks(ctx context.Context, marks []savorymember.Mark) {
+	news := s.tables.mergeMarks(marks, s.now())
+	s.logMarks(news)
+	if len(news) > 0 {
+		s.offer(ctx, nil, nil, news, false)
+	}
+}
+
+// announceMarks merges marks that this entry learned at their source and hands
+// them to all zones.
+func (s *spreader) announceMarks(ctx context.Context, marks []savorymember.Mark) {
+	news := s.tables.mergeMarks(marks, s.now())
+	s.logMarks(news)
+	if len(news) > 0 {
+		s.offer(ctx, nil, nil, news, true)
+	}
+}
+
+func (s *spreader) logMarks(marks []savorymember.Mark) {
+	for _, m := range marks {
+		s.log.WithFields(log.Fields{"server": m.Server, "leaving": m.Leaving, "from": m.Source}).Info("backend server marked")
+	}
+}
+
+// announceRoot hands an accepted or newly read root to all zones.
+func (s *spreader) announceRoot(ctx context.Context, root *savoryconfig.Root, buckets []savoryconfig.Bucket) {
+	body, err := savoryconfig.EncodeRoot(root)
+	if err != nil {
+		s.log.WithError(err).Error("root not announced")
+		return
+	}
+	s.offer(ctx, body, buckets, nil, true)
+}
+
+// offer hands news to the peers that are to have it. A peer that does not
+// answer gets it by a later heartbeat.
+func (s *spreader) offer(ctx context.Context, root []byte, buckets []savoryconfig.Bucket, marks []savorymember.Mark, origin bool) {
+	offer := &savorypeer.Offer{Root: root, Marks: marks, From: s.self.Address}
+	if len(buckets) <= savorypeer.MaxBuckets {
+		offer.Buckets = buckets
+	}
+	var targets []savorymember.Peer
+	s.tables.members.with(func(m *memberState) { targets = m.table.PushTargets(origin, s.now()) })
+	for _, peer := range targets {
+		s.pool.submit(func() {
+			if _, err := s.peers.Offer(context.WithoutCancel(ctx), peer.Address, offer); err != nil {
+				s.log.WithError(err).WithField("peer", peer.Address).Warn("offer not acknowledged")
+			}
+		})
+	}
+}
+
+// Handlers of peers' calls.
+
+func (s *spreader) handleExchange(_ context.Context, hello *savorypeer.Hello) (*savorypeer.Hello, error) {
+	s.heard(hello)
+	if hello.Revision > s.keeper.revision() {
+		s.pool.submit(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.peers.Timeout)
+			defer cancel()
+			s.catchUp(ctx, hello)
+		})
+	}
+	return s.hello(s.now()), nil
+}
+
+func (s *spreader) handleOffer(ctx context.Context, offer *savorypeer.Offer) (*savorypeer.Ack, error) {
+	s.takeMarks(ctx, offer.Marks)
+	if len(offer.Root) > 0 {
+		s.takeRoot(ctx, offer.Root, offer.Buckets, offer.From)
+	}
+	_, digest := s.tables.allMarks(s.now())
+	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest}, nil
+}
+
+func (s *spreader) handleFetch(_ context.Context, fetch *savorypeer.Fetch) (*savorypeer.State, error) {
+	state := new(savorypeer.State)
+	if snapshot := s.keeper.snapshot(); fetch.Root && snapshot != nil {
+		body, err := savoryconfig.EncodeRoot(snapshot.Root)
+		if err != nil {
+			return nil, err
+		}
+		state.Root = body
+	}
+	if fetch.Marks {
+		state.Marks, _ = s.tables.allMarks(s.now())
+	}
+	state.Buckets = s.keeper.held(fetch.Buckets)
+	return state, nil
+}
+
+// Following the store.
+
+// pollLoop reads the root from time to time, and once at the start.
+func (s *spreader) pollLoop(t *tomb.Tomb) error {
+	for {
+		s.poll(t.Context(context.Background()))
+		if !sleep(t, storePollInterval) {
+			return nil
+		}
+		for !s.isRelay() && s.keeper.revision() > 0 {
+			if !sleep(t, storePollInterval) {
+				return nil
+			}
+		}
+	}
+}
+
+// poll reads the root and the marks.
+func (s *spreader) poll(ctx context.Context) {
+	stored, err := s.config.readRoot(ctx)
+	if err != nil {
+		return
+	}
+	s.storeAt.Store(s.now().UnixNano())
+	s.takeStored(ctx, stored.root)
+	values, _, err := s.store.List(ctx, markPrefix)
+	if err != nil {
+		return
+	}
+	for _, v := range values {
+		s.takeStoredMark(ctx, v)
+	}
+}
+
+// takeStored puts a root read from the store in force and hands it on.
+func (s *spreader) takeStored(ctx context.Context, root *savoryconfig.Root) {
+	if root.Revision < s.keeper.revision() {
+		s.log.WithFields(log.Fields{"stored": root.Revision, "revision": s.keeper.revision()}).Warn("the store shows an older revision; it is ignored")
+		return
+	}
+	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
+	if err != nil {
+		s.log.WithError(err).Error("revision refused")
+		return
+	}
+	if fresh {
+		s.announceRoot(ctx, root, nil)
+	}
+}
+
+func (s *spreader) takeStoredMark(ctx context.Context, v savorystore.Value) {
+	if v.Body == nil {
+		return
+	}
+	mark, err := decodeMark(v.Body)
+	if err != nil {
+		s.log.WithError(err).WithField("key", v.Key).Error("mark refused")
+		return
+	}
+	s.announceMarks(ctx, []savorymember.Mark{mark})
+}
+
+// watchLoop holds a watch while the entry is a relay.
+func (s *spreader) watchLoop(t *tomb.Tomb) error {
+	for {
+		if s.isRelay() {
+			s.watch(t)
+		}
+		if !sleep(t, watchPause) {
+			return nil
+		}
+	}
+}
+
+// watch follows changes until the watch breaks or the entry is no longer a
+// relay.
+func (s *spreader) watch(t *tomb.Tomb) {
+	ctx, cancel := context.WithCancel(t.Context(context.Background()))
+	defer cancel()
+	go func() {
+		for s.isRelay() && pause(ctx, storePollInterval) {
+		}
+		cancel()
+	}()
+	err := s.store.Watch(ctx, watchPrefix, 0, func(v savorystore.Value) { s.watched(ctx, v) })
+	if err != nil && ctx.Err() == nil {
+		s.log.WithError(err).Warn("watch broken")
+	}
+}
+
+func (s *spreader) watched(ctx context.Context, v savorystore.Value) {
+	s.storeAt.Store(s.now().UnixNano())
+	switch {
+	case v.Key == rootKey && v.Body != nil:
+		root, err := savoryconfig.DecodeRoot(v.Body)
+		if err != nil {
+			s.log.WithError(err).Error("root refused")
+			return
+		}
+		s.takeStored(ctx, root)
+	case len(v.Key) > len(markPrefix) && v.Key[:len(markPrefix)] == markPrefix:
+		s.takeStoredMark(ctx, v)
+	}
+}
+
+func (s *spreader) isRelay() bool {
+	relay := false
+	s.tables.members.with(func(m *memberState) { relay = m.table.IsRelay(s.now()) })
+	return relay
+}
+
+// Following the VM list.
+
+func (s *spreader) listLoop(t *tomb.Tomb) error {
+	for {
+		s.readList(t.Context(context.Background()))
+		interval := otherListInterval
+		if s.isRelay() {
+			interval = relayListInterval
+		}
+		if !sleep(t, interval) {
+			return nil
+		}
+	}
+}
+
+// readList reads the VM list, and marks backend servers on it that leave.
+func (s *spreader) readList(ctx context.Context) {
+	vms, err := s.vms.Read(ctx)
+	if err != nil {
+		s.log.WithError(err).Debug("VM list not read")
+		return
+	}
+	now := s.now()
+	s.tables.listVMs(vms, now)
+	others := 0
+	var marks []savorymember.Mark
+	for _, vm := range vms {
+		if vm.Entry {
+			if vm.Address != s.self.Address {
+				others++
+			}
+			continue
+		}
+		if mark, ok := s.listedMark(vm, now); ok {
+			marks = append(marks, mark)
+		}
+	}
+	s.listed.Store(int64(others))
+	s.announceMarks(ctx, marks)
+}
+
+// listedMark returns the mark for a backend server's VM that is leaving. A mark
+// that is in force is renewed only near its end.
+func (s *spreader) listedMark(vm savoryworld.VM, now time.Time) (savorymember.Mark, bool) {
+	snapshot := s.keeper.snapshot()
+	if snapshot == nil || vm.State != savoryworld.VMLeaving {
+		return savorymember.Mark{}, false
+	}
+	server := snapshot.ServerAt(vm.Address)
+	if server == nil {
+		return savorymember.Mark{}, false
+	}
+	mark := savorymember.Mark{Server: server.Name, Source: savorymember.FromVMList, Leaving: true, At: now}
+	due := false
+	s.tables.members.with(func(m *memberState) { due = m.marks.Due(mark) })
+	return mark, due
+}
--- /dev/null
+++ b/savoryentry/savorynode/tables.go
@@ -0,0 +1,151 @@
+package savorynode
+
+// This file defines the shared tables: the decision tables of the core
+// packages, each behind its own lock.
+//
+// Lock order: config, members, limits, chains. A goroutine that holds one lock
+// takes only locks that come later in this order, and does no I/O meanwhile.
+
+import (
+	"sync"
+	"time"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// guarded is a value behind a lock.
+type guarded[T any] struct {
+	mu    sync.Mutex
+	value T
+}
+
+// with calls f with the value while the lock is held.
+func (g *guarded[T]) with(f func(*T)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(&g.value)
+}
+
+// memberState is the view of the fleet and the leaving marks.
+type memberState struct {
+	table savorymember.Table
+	marks savorymember.Marks
+}
+
+// limitState is the contracts and the retry budget.
+type limitState struct {
+	limiter savorylimit.Limiter
+	budget  savorylimit.RetryBudget
+}
+
+// tables holds the shared tables of one entry.
+type tables struct {
+	members guarded[memberState]
+	limits  guarded[limitState]
+	chains  guarded[savorychain.Table]
+}
+
+// chooseChain picks a chain and records the request as sent along it.
+func (t *tables) chooseChain(req savorychain.Request, now time.Time) (choice savorychain.Choice, err error) {
+	t.chains.with(func(table *savorychain.Table) {
+		choice, err = table.Choose(req, now)
+	})
+	return choice, err
+}
+
+// sent records that a request goes along chain, unless a server of it is
+// leaving since it was chosen.
+func (t *tables) sent(chain []savoryengine.Hop, promptTokens int) bool {
+	usable := true
+	t.chains.with(func(table *savorychain.Table) {
+		for _, hop := range chain {
+			usable = usable && table.RemainsInUse(hop.Server)
+		}
+		if usable {
+			table.Sent(chain, promptTokens)
+		}
+	})
+	return usable
+}
+
+// loadSnapshot puts a snapshot in force in all tables.
+func (t *tables) loadSnapshot(s *savoryconfig.Snapshot, now time.Time) {
+	leaving := t.leavingServers(s, now)
+	t.chains.with(func(table *savorychain.Table) {
+		table.Load(s)
+		for _, server := range leaving {
+			table.SetLeaving(server, true)
+		}
+	})
+}
+
+// leavingServers returns the servers of s that a mark says are leaving.
+func (t *tables) leavingServers(s *savoryconfig.Snapshot, now time.Time) []string {
+	var leaving []string
+	t.members.with(func(m *memberState) {
+		for _, server := range s.Document.BackendServers {
+			if m.marks.Leaving(server.Name, now) {
+				leaving = append(leaving, server.Name)
+			}
+		}
+	})
+	return leaving
+}
+
+// mergeMarks takes marks and returns those that are news.
+func (t *tables) mergeMarks(marks []savorymember.Mark, now time.Time) []savorymember.Mark {
+	var news []savorymember.Mark
+	t.members.with(func(m *memberState) {
+		for _, mark := range marks {
+			if m.marks.Merge(mark) {
+				news = append(news, mark)
+			}
+		}
+	})
+	t.refreshLeaving(news, now)
+	return news
+}
+
+// refreshLeaving brings the chain table up to date for the servers of marks.
+func (t *tables) refreshLeaving(marks []savorymember.Mark, now time.Time) {
+	for _, mark := range marks {
+		leaving := false
+		t.members.with(func(m *memberState) { leaving = m.marks.Leaving(mark.Server, now) })
+		t.chains.with(func(table *savorychain.Table) { table.SetLeaving(mark.Server, leaving) })
+	}
+}
+
+// expireMarks drops the marks that ended.
+func (t *tables) expireMarks(now time.Time) {
+	var ended []savorymember.Mark
+	t.members.with(func(m *memberState) { ended = m.marks.Expire(now) })
+	t.refreshLeaving(ended, now)
+}
+
+// allMarks returns the marks in force and their digest.
+func (t *tables) allMarks(now time.Time) ([]savorymember.Mark, uint64) {
+	var marks []savorymember.Mark
+	var digest uint64
+	t.members.with(func(m *memberState) {
+		marks = m.marks.All(now)
+		digest = m.marks.Digest(now)
+	})
+	return marks, digest
+}
+
+// listVMs takes the platform's list.
+func (t *tables) listVMs(vms []savoryworld.VM, now time.Time) {
+	t.members.with(func(m *memberState) { m.table.List(vms, now) })
+	var entries []string
+	for _, vm := range vms {
+		if vm.Entry {
+			entries = append(entries, vm.Address.String())
+		}
+	}
+	t.limits.with(func(l *limitState) { l.limiter.SetEntries(entries) })
+}
--- /dev/null
+++ b/savorystand/savorymodel/engine.go
@@ -0,0 +1,464 @@
+package savorymodel
+
+// This file defines Engine, which serves a range of layers.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// maxRequestBytes bounds one request.
+	maxRequestBytes = 1 << 20
+	// cachedRequests bounds the number of requests whose state is cached.
+	cachedRequests = 1024
+	// loadEvery is the number of tokens between two load reports.
+	loadEvery = 8
+)
+
+// Engine is the stand-in. Its exported fields are set before its first use.
+type Engine struct {
+	Name        string
+	Accelerator savoryworld.Accelerator
+	// Holds is what the engine holds at first.
+	Holds savoryengine.Wanted
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+	// LoadTime is how long it takes to load weights for an order.
+	LoadTime time.Duration
+
+	mu      sync.Mutex
+	holds   savoryengine.Wanted
+	started bool
+	fence   int64
+	orders  int
+	loading bool
+	leaving bool
+	faults  Faults
+	batch   *batch
+	cached  map[string]int
+	running int
+	cancels map[string]context.CancelFunc
+	tokens  int64
+	client  http.Client
+}
+
+// Faults are the faults that are switched on.
+type Faults struct {
+	// Die cuts all connections off.
+	Die bool
+	// Silent stops all progress while connections stay open.
+	Silent bool
+	// Delay is added to each step.
+	Delay time.Duration
+	// SkipLayer leaves out the last layer, unsaid.
+	SkipLayer bool
+	// RepeatToken sends each token twice.
+	RepeatToken bool
+	// WrongRequest answers with another request's ID.
+	WrongRequest bool
+	// StopShort ends a stream before the last token.
+	StopShort bool
+}
+
+// SetFaults replaces the faults that are switched on.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// SetLeaving makes the engine refuse new work, or take it again.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Tokens returns the number of tokens that the engine has run, prompts too.
+func (e *Engine) Tokens() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokens
+}
+
+// Orders returns the number of orders carried out.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+// Handler serves the engine's interface.
+func (e *Engine) Handler() http.Handler {
+	e.mu.Lock()
+	e.start()
+	e.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+savoryengine.PathRun, e.serveRun)
+	mux.HandleFunc("POST "+savoryengine.PathStep, e.serveStep)
+	mux.HandleFunc("POST "+savoryengine.PathCancel, e.serveCancel)
+	mux.HandleFunc("POST "+savoryengine.PathStatus, e.serveStatus)
+	mux.HandleFunc("POST "+savoryengine.PathOrder, e.serveOrder)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faults := e.currentFaults()
+		if faults.Die {
+			panic(http.ErrAbortHandler)
+		}
+		if faults.Silent {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (e *Engine) start() {
+	if e.started {
+		return
+	}
+	e.started = true
+	e.holds = e.Holds
+	e.cached = make(map[string]int)
+	e.cancels = make(map[string]context.CancelFunc)
+	e.batch = &batch{accelerator: e.Accelerator, layers: e.Holds.Layers.Count()}
+}
+
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// serveRun streams the tokens of one attempt.
+func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
+	var run savoryengine.Run
+	if !readJSON(w, r, &run) {
+		return
+	}
+	if fault := e.refuse(&run); fault != nil {
+		writeFault(w, fault)
+		return
+	}
+	ctx, end := e.begin(r.Context(), run.Request, run.Attempt)
+	defer end()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	for index := len(run.Emitted); index < run.MaxTokens; index++ {
+		event := e.nextToken(ctx, &run, index)
+		if event == nil {
+			panic(http.ErrAbortHandler)
+		}
+		if e.write(w, event) != nil || event.Fault != nil {
+			return
+		}
+		if event.Token.Finish != "" || e.currentFaults().StopShort {
+			return
+		}
+		run.Emitted = append(run.Emitted, event.Token.Text)
+	}
+}
+
+// write sends an event, twice if that fault is switched on.
+func (e *Engine) write(w http.ResponseWriter, event *savoryengine.Event) error {
+	if err := savoryengine.EncodeEvent(w, *event); err != nil {
+		return err
+	}
+	if e.currentFaults().RepeatToken {
+		if err := savoryengine.EncodeEvent(w, *event); err != nil {
+			return err
+		}
+	}
+	flush(w)
+	return nil
+}
+
+// nextToken runs one token through the chain. It returns nil if the engine
+// died meanwhile.
+func (e *Engine) nextToken(ctx context.Context, run *savoryengine.Run, index int) *savoryengine.Event {
+	step := &savoryengine.Step{
+		Request: run.Request, Attempt: run.Attempt, Index: index,
+		Model: run.Model, Version: run.Version, Layers: run.Layers, Chain: run.Chain,
+		Activation: Embed(run.Model, run.Version, run.Prompt, run.Emitted),
+		Tokens:     CountTokens(run.Prompt) + index,
+	}
+	done, fault := e.step(ctx, step)
+	if fault != nil {
+		return &savoryengine.Event{Fault: fault}
+	}
+	faults := e.currentFaults()
+	if faults.Die {
+		return nil
+	}
+	token := &savoryengine.Token{
+		Request: run.Request, Attempt: run.Attempt, Index: index,
+		Text: Word(done.Activation), Ran: done.Ran, Loads: done.Loads,
+	}
+	if slices.Contains(run.Sampling.Stop, strings.TrimSpace(token.Text)) {
+		token.Finish = "stop"
+	} else if index == run.MaxTokens-1 {
+		token.Finish = "length"
+	}
+	if faults.WrongRequest {
+		token.Request += "-other"
+	}
+	return &savoryengine.Event{Token: token}
+}
+
+// step runs the engine's own layers and hands the activation on.
+func (e *Engine) step(ctx context.Context, step *savoryengine.Step) (*savoryengine.Step, *savoryengine.FaultError) {
+	hop := step.Chain[step.Position]
+	if fault := e.checkHolds(step.Model, step.Version, hop.Layers); fault != nil {
+		return nil, fault
+	}
+	if err := e.compute(ctx, step); err != nil {
+		return nil, e.fault(savoryverdict.MayHaveRun, err.Error())
+	}
+	layers := hop.Layers
+	if e.currentFaults().SkipLayer {
+		layers.To--
+	}
+	step.Activation = Apply(step.Activation, layers)
+	step.Ran = append(step.Ran, savoryengine.Ran{Server: e.Name, Layers: layers})
+	if step.Index%loadEvery == 0 {
+		step.Loads = append(step.Loads, e.load())
+	}
+	if step.Position == len(step.Chain)-1 {
+		return step, nil
+	}
+	step.Position++
+	return e.forward(ctx, step)
+}
+
+// compute takes part in the batch with the tokens that are not cached.
+func (e *Engine) compute(ctx context.Context, step *savoryengine.Step) error {
+	e.mu.Lock()
+	tokens := max(1, step.Tokens-e.cached[step.Request])
+	if len(e.cached) >= cachedRequests {
+		clear(e.cached)
+	}
+	e.cached[step.Request] = step.Tokens
+	e.tokens += int64(tokens)
+	delay, silent := e.faults.Delay, e.faults.Silent
+	e.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return e.batch.run(ctx, tokens)
+}
+
+// forward hands the step to the next stage.
+func (e *Engine) forward(ctx context.Context, step *savoryengine.Step) (*savoryengine.Step, *savoryengine.FaultError) {
+	next := step.Chain[step.Position]
+	failed := func(err error) *savoryengine.FaultError {
+		return &savoryengine.FaultError{Verdict: savoryverdict.MayHaveRun, Server: next.Server, Message: err.Error()}
+	}
+	body, err := json.Marshal(step)
+	if err != nil {
+		return nil, failed(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+next.Address.String()+savoryengine.PathStep, bytes.NewReader(body))
+	if err != nil {
+		return nil, failed(err)
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, failed(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		fault := new(savoryengine.FaultError)
+		if err := json.NewDecoder(resp.Body).Decode(fault); err != nil {
+			return nil, failed(err)
+		}
+		return nil, fault
+	}
+	done := new(savoryengine.Step)
+	if err := json.NewDecoder(resp.Body).Decode(done); err != nil {
+		return nil, failed(err)
+	}
+	return done, nil
+}
+
+func (e *Engine) serveStep(w http.ResponseWriter, r *http.Request) {
+	step := new(savoryengine.Step)
+	if !readJSON(w, r, step) {
+		return
+	}
+	if step.Position <= 0 || step.Position >= len(step.Chain) {
+		http.Error(w, "Position is not in the chain", http.StatusBadRequest)
+		return
+	}
+	done, fault := e.step(r.Context(), step)
+	if e.currentFaults().Die {
+		panic(http.ErrAbortHandler)
+	}
+	if fault != nil {
+		writeFault(w, fault)
+		return
+	}
+	writeJSON(w, done)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var cancel savoryengine.Cancel
+	if !readJSON(w, r, &cancel) {
+		return
+	}
+	e.mu.Lock()
+	if stop := e.cancels[attemptKey(cancel.Request, cancel.Attempt)]; stop != nil {
+		stop()
+	}
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	load := e.load()
+	e.mu.Lock()
+	status := savoryengine.Status{
+		Server: e.Name, Holds: e.holds, Leaving: e.leaving, Loading: e.loading, Load: load, Fence: e.fence,
+	}
+	e.mu.Unlock()
+	writeJSON(w, status)
+}
+
+// serveOrder carries an order out. An engine that checks fencing numbers
+// refuses one that is lower than the highest seen.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order savoryengine.Order
+	if !readJSON(w, r, &order) {
+		return
+	}
+	fence, err := strconv.ParseInt(r.Header.Get(savoryengine.HeaderFence), 10, 64)
+	if err != nil {
+		http.Error(w, savoryengine.HeaderFence+" is not a number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFence && fence < e.fence {
+		writeFault(w, e.fault(savoryverdict.NotRun, fmt.Sprintf("fencing number %d is older than %d", fence, e.fence)))
+		return
+	}
+	if e.ChecksFence {
+		e.fence = fence
+	}
+	if order.Wanted != e.holds {
+		e.orders++
+		e.loading = true
+		time.AfterFunc(e.LoadTime, func() { e.loaded(order.Wanted) })
+	}
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) loaded(wanted savoryengine.Wanted) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading = false
+	e.holds = wanted
+	e.batch = &batch{accelerator: e.Accelerator, layers: wanted.Layers.Count()}
+}
+
+// refuse returns the fault for a run that the engine does not begin.
+func (e *Engine) refuse(run *savoryengine.Run) *savoryengine.FaultError {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		fault := e.fault(savoryverdict.NotRun, "the engine is leaving")
+		fault.Leaving = true
+		return fault
+	}
+	if len(run.Chain) == 0 || run.Request == "" {
+		return e.fault(savoryverdict.NotRun, "Chain or Request is empty")
+	}
+	return nil
+}
+
+func (e *Engine) checkHolds(model, version string, layers savoryworld.LayerRange) *savoryengine.FaultError {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holds.Model != model || e.holds.Version != version || e.holds.Layers != layers {
+		return e.fault(savoryverdict.NotRun, fmt.Sprintf("holds %s %s layers %s", e.holds.Model, e.holds.Version, e.holds.Layers))
+	}
+	return nil
+}
+
+// begin counts a run and makes it cancelable.
+func (e *Engine) begin(ctx context.Context, request string, attempt int) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	key := attemptKey(request, attempt)
+	e.mu.Lock()
+	e.running++
+	e.cancels[key] = cancel
+	e.mu.Unlock()
+	return ctx, func() {
+		cancel()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.running--
+		delete(e.cancels, key)
+	}
+}
+
+func (e *Engine) load() savoryengine.Load {
+	waiting, tokens := e.batch.queued()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return savoryengine.Load{Server: e.Name, At: time.Now(), Running: max(e.running, waiting), Queued: tokens}
+}
+
+func (e *Engine) fault(verdict savoryverdict.Verdict, message string) *savoryengine.FaultError {
+	return &savoryengine.FaultError{Verdict: verdict, Server: e.Name, Message: message}
+}
+
+func attemptKey(request string, attempt int) string {
+	return request + "#" + strconv.Itoa(attempt)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeFault(w http.ResponseWriter, fault *savoryengine.FaultError) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(fault)
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/savorystand/savoryplatform/keyspace.go
@@ -0,0 +1,181 @@
+package savoryplatform
+
+// This file defines the stored keys and the transactions on them.
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"time"
+
+	"savorycart.example/savorycore/savorystore"
+)
+
+// keyspace is the content of the key-value service. Its methods are called
+// with the service's lock held.
+type keyspace struct {
+	revision  int64
+	values    map[string]savorystore.KeyValue
+	leases    map[int64]*lease
+	lastLease int64
+	// history holds all events in order of revision, for watches that start in
+	// the past.
+	history []historyEvent
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type historyEvent struct {
+	revision int64
+	event    savorystore.WatchEvent
+}
+
+func newKeyspace() *keyspace {
+	return &keyspace{
+		revision: 1,
+		values:   make(map[string]savorystore.KeyValue),
+		leases:   make(map[int64]*lease),
+	}
+}
+
+// read returns the pairs of a range request, sorted by key.
+func (k *keyspace) read(req savorystore.RangeRequest) *savorystore.RangeResponse {
+	answer := &savorystore.RangeResponse{Header: savorystore.Header{Revision: k.revision}}
+	if len(req.RangeEnd) == 0 {
+		if kv, ok := k.values[string(req.Key)]; ok {
+			answer.Kvs = append(answer.Kvs, kv)
+		}
+		return answer
+	}
+	for key, kv := range k.values {
+		if inRange(key, req.Key, req.RangeEnd) {
+			answer.Kvs = append(answer.Kvs, kv)
+		}
+	}
+	slices.SortFunc(answer.Kvs, func(a, b savorystore.KeyValue) int { return bytes.Compare(a.Key, b.Key) })
+	return answer
+}
+
+// commit runs a transaction; all of its writes get one new revision.
+func (k *keyspace) commit(txn savorystore.TxnRequest) *savorystore.TxnResponse {
+	next := k.revision + 1
+	answer, wrote := k.run(txn, next)
+	if wrote {
+		k.revision = next
+	}
+	answer.Header.Revision = k.revision
+	return answer
+}
+
+func (k *keyspace) run(txn savorystore.TxnRequest, next int64) (*savorystore.TxnResponse, bool) {
+	answer := &savorystore.TxnResponse{Succeeded: true}
+	for _, c := range txn.Compare {
+		if k.values[string(c.Key)].ModRevision != c.ModRevision {
+			answer.Succeeded = false
+		}
+	}
+	ops := txn.Failure
+	if answer.Succeeded {
+		ops = txn.Success
+	}
+	wrote := false
+	for _, op := range ops {
+		result, wroteOne := k.runOp(op, next)
+		answer.Responses = append(answer.Responses, result)
+		wrote = wrote || wroteOne
+	}
+	return answer, wrote
+}
+
+func (k *keyspace) runOp(op savorystore.RequestOp, next int64) (savorystore.ResponseOp, bool) {
+	switch {
+	case op.Range != nil:
+		return savorystore.ResponseOp{Range: k.read(*op.Range)}, false
+	case op.Put != nil:
+		k.put(*op.Put, next)
+		return savorystore.ResponseOp{}, true
+	case op.Delete != nil:
+		return savorystore.ResponseOp{}, k.remove(string(op.Delete.Key), next)
+	case op.Txn != nil:
+		answer, wrote := k.run(*op.Txn, next)
+		return savorystore.ResponseOp{Txn: answer}, wrote
+	}
+	return savorystore.ResponseOp{}, false
+}
+
+func (k *keyspace) put(put savorystore.PutRequest, revision int64) {
+	kv := savorystore.KeyValue{Key: put.Key, Value: put.Value, ModRevision: revision, Lease: put.Lease}
+	k.values[string(put.Key)] = kv
+	k.history = append(k.history, historyEvent{revision, savorystore.WatchEvent{Kv: kv}})
+}
+
+func (k *keyspace) remove(key string, revision int64) bool {
+	if _, ok := k.values[key]; !ok {
+		return false
+	}
+	delete(k.values, key)
+	kv := savorystore.KeyValue{Key: []byte(key), ModRevision: revision}
+	event := savorystore.WatchEvent{Type: savorystore.EventDelete, Kv: kv}
+	k.history = append(k.history, historyEvent{revision, event})
+	return true
+}
+
+// grant makes a lease.
+func (k *keyspace) grant(ttl time.Duration, now time.Time) int64 {
+	k.lastLease++
+	k.leases[k.lastLease] = &lease{ttl: ttl, expires: now.Add(ttl)}
+	return k.lastLease
+}
+
+// renew renews a lease and returns its time to live, or 0 if it is gone.
+func (k *keyspace) renew(id int64, now time.Time) time.Duration {
+	l := k.leases[id]
+	if l == nil {
+		return 0
+	}
+	l.expires = now.Add(l.ttl)
+	return l.ttl
+}
+
+// expire ends the leases whose time is over and deletes their keys.
+func (k *keyspace) expire(now time.Time) {
+	for id, l := range k.leases {
+		if now.After(l.expires) {
+			k.revoke(id)
+		}
+	}
+}
+
+func (k *keyspace) revoke(id int64) {
+	delete(k.leases, id)
+	for key, kv := range k.values {
+		if kv.Lease == id {
+			k.revision++
+			k.remove(key, k.revision)
+		}
+	}
+}
+
+// since returns the events on a range from a revision on.
+func (k *keyspace) since(from int64, create savorystore.WatchCreate) []savorystore.WatchEvent {
+	start, _ := slices.BinarySearchFunc(k.history, from, func(h historyEvent, from int64) int {
+		return int(h.revision - from)
+	})
+	var events []savorystore.WatchEvent
+	for _, h := range k.history[start:] {
+		if inRange(string(h.event.Kv.Key), create.Key, create.RangeEnd) {
+			events = append(events, h.event)
+		}
+	}
+	return events
+}
+
+func inRange(key string, from, end []byte) bool {
+	if len(end) == 0 {
+		return key == string(from)
+	}
+	return strings.Compare(key, string(from)) >= 0 && strings.Compare(key, string(end)) < 0
+}
--- /dev/null
+++ b/savorystand/savoryplatform/platform.go
@@ -0,0 +1,346 @@
+// Package savoryplatform is a small stand-in for the platform: the key-value
+// service with compare-and-swap, leases and watches (the JSON mapping of the
+// etcd v3 API) and the lagging list of VMs (the HTTP service discovery format
+// of Prometheus).
+//
+// It keeps everything in memory. Faults can be switched on: outages, slow
+// calls, answers that are lost after the write was applied, and watches that
+// go silent. Calls are counted, and a rate above the stated one is refused.
+package savoryplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// maxRequestBytes bounds one call, as the real service does.
+	maxRequestBytes = 3 << 19
+	// watchTick is how often an idle watch looks at the clock.
+	watchTick = 50 * time.Millisecond
+)
+
+// Platform is the stand-in. Its exported fields are set before its first use.
+type Platform struct {
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
+	// WritesPerSecond and ReadsPerSecond bound the rate of calls; 0 is no
+	// bound. Calls above it are refused with status 429.
+	WritesPerSecond int
+	ReadsPerSecond  int
+	// ListLag is how long a change of the VM list stays hidden.
+	ListLag time.Duration
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	keys    *keyspace
+	faults  Faults
+	calls   Calls
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	vms     []listedVM
+}
+
+// Faults are the faults that are switched on.
+type Faults struct {
+	// Out refuses all calls.
+	Out bool
+	// Silent accepts calls but never answers them.
+	Silent bool
+	// SilentWatches keeps watches open without telling of changes.
+	SilentWatches bool
+	// Delay is added to each call.
+	Delay time.Duration
+	// LoseAnswers is the number of next writes that are applied but whose
+	// answers are lost.
+	LoseAnswers int
+}
+
+// Calls counts the calls so far, and the watches that wait now.
+type Calls struct {
+	Reads   int64
+	Writes  int64
+	Refused int64
+	Watches int64
+}
+
+// listedVM is one VM with the time from which the list shows its state.
+type listedVM struct {
+	vm      savoryworld.VM
+	shownAt time.Time
+	gone    bool
+}
+
+// SetFaults replaces the faults that are switched on.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.init()
+	p.faults = f
+	p.changed.Broadcast()
+}
+
+// Calls returns the counts of calls.
+func (p *Platform) Calls() Calls {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Handler serves the key-value service and the list of VMs.
+func (p *Platform) Handler() http.Handler {
+	p.mu.Lock()
+	p.init()
+	p.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", read(p, func(k *keyspace, req savorystore.RangeRequest) any {
+		return k.read(req)
+	}))
+	mux.HandleFunc("POST /v3/kv/txn", write(p, func(k *keyspace, req savorystore.TxnRequest, _ time.Time) any {
+		return k.commit(req)
+	}))
+	mux.HandleFunc("POST /v3/kv/put", write(p, func(k *keyspace, req savorystore.PutRequest, _ time.Time) any {
+		return k.commit(savorystore.TxnRequest{Success: []savorystore.RequestOp{{Put: &req}}})
+	}))
+	mux.HandleFunc("POST /v3/kv/deleterange", write(p, func(k *keyspace, req savorystore.DeleteRequest, _ time.Time) any {
+		return k.commit(savorystore.TxnRequest{Success: []savorystore.RequestOp{{Delete: &req}}})
+	}))
+	mux.HandleFunc("POST /v3/lease/grant", write(p, func(k *keyspace, req savorystore.LeaseRequest, now time.Time) any {
+		return savorystore.LeaseResponse{ID: k.grant(time.Duration(req.TTL)*time.Second, now), TTL: req.TTL}
+	}))
+	mux.HandleFunc("POST /v3/lease/keepalive", write(p, func(k *keyspace, req savorystore.LeaseRequest, now time.Time) any {
+		ttl := k.renew(req.ID, now)
+		return savorystore.KeepAliveResponse{Result: savorystore.LeaseResponse{ID: req.ID, TTL: int64(ttl / time.Second)}}
+	}))
+	mux.HandleFunc("POST /v3/lease/revoke", write(p, func(k *keyspace, req savorystore.LeaseRequest, _ time.Time) any {
+		k.revoke(req.ID)
+		return savorystore.LeaseResponse{}
+	}))
+	mux.HandleFunc("POST /v3/watch", p.serveWatch)
+	mux.HandleFunc("GET /vms", p.serveVMs)
+	return mux
+}
+
+func (p *Platform) init() {
+	if p.keys != nil {
+		return
+	}
+	p.keys = newKeyspace()
+	p.changed = sync.NewCond(&p.mu)
+	p.writes = limiter(p.WritesPerSecond)
+	p.reads = limiter(p.ReadsPerSecond)
+}
+
+func limiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
+
+func (p *Platform) now() time.Time {
+	if p.Now != nil {
+		return p.Now()
+	}
+	return time.Now()
+}
+
+// read serves a call that changes nothing.
+func read[Req any](p *Platform, run func(*keyspace, Req) any) http.HandlerFunc {
+	return serve(p, false, func(k *keyspace, req Req, _ time.Time) any { return run(k, req) })
+}
+
+// write serves a call that may change the keys.
+func write[Req any](p *Platform, run func(*keyspace, Req, time.Time) any) http.HandlerFunc {
+	return serve(p, true, run)
+}
+
+func serve[Req any](p *Platform, writes bool, run func(*keyspace, Req, time.Time) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req Req
+		dec := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
+		if err := dec.Decode(&req); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !p.admit(w, r, writes) {
+			return
+		}
+		answer, lost := p.apply(writes, func(k *keyspace, now time.Time) any { return run(k, req, now) })
+		if lost {
+			cutOff(w)
+			return
+		}
+		writeJSON(w, answer)
+	}
+}
+
+// admit applies the faults and the rate limit that act before a call.
+func (p *Platform) admit(w http.ResponseWriter, r *http.Request, writes bool) bool {
+	p.mu.Lock()
+	faults := p.faults
+	allowed := p.count(writes)
+	p.mu.Unlock()
+	if faults.Silent {
+		<-r.Context().Done()
+		return false
+	}
+	if faults.Delay > 0 {
+		select {
+		case <-time.After(faults.Delay):
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	if faults.Out {
+		http.Error(w, "the service is out", http.StatusServiceUnavailable)
+		return false
+	}
+	if !allowed {
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return false
+	}
+	return true
+}
+
+// count counts a call and reports whether its rate is allowed.
+func (p *Platform) count(writes bool) bool {
+	limiter := p.reads
+	if writes {
+		limiter = p.writes
+		p.calls.Writes++
+	} else {
+		p.calls.Reads++
+	}
+	if !limiter.AllowN(p.now(), 1) {
+		p.calls.Refused++
+		return false
+	}
+	return true
+}
+
+// apply runs a call and reports whether its answer is lost.
+func (p *Platform) apply(writes bool, run func(*keyspace, time.Time) any) (any, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	p.keys.expire(now)
+	answer := run(p.keys, now)
+	if !writes {
+		return answer, false
+	}
+	p.changed.Broadcast()
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		return nil, true
+	}
+	return answer, false
+}
+
+// serveWatch streams events until the caller leaves.
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req savorystore.WatchRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !p.admit(w, r, false) {
+		return
+	}
+	stop := p.wakeWatches(r)
+	defer stop()
+	p.mu.Lock()
+	p.calls.Watches++
+	next := req.Create.StartRevision
+	if next == 0 {
+		next = p.keys.revision + 1
+	}
+	p.mu.Unlock()
+	defer p.endWatch()
+	writeJSON(w, savorystore.WatchResponse{Result: savorystore.WatchResult{Created: true}})
+	flush(w)
+	for {
+		events, revision, ok := p.nextEvents(r, next, req.Create)
+		if !ok {
+			return
+		}
+		next = revision + 1
+		writeJSON(w, savorystore.WatchResponse{Result: savorystore.WatchResult{
+			Header: savorystore.Header{Revision: revision}, Events: events,
+		}})
+		flush(w)
+	}
+}
+
+// nextEvents waits for events from revision next on. It returns false when the
+// watch has ended.
+func (p *Platform) nextEvents(r *http.Request, next int64, create savorystore.WatchCreate) ([]savorystore.WatchEvent, int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for r.Context().Err() == nil && !p.faults.Out {
+		p.keys.expire(p.now())
+		events := p.keys.since(next, create)
+		if len(events) > 0 && !p.faults.SilentWatches && !p.faults.Silent {
+			return events, p.keys.revision, true
+		}
+		p.changed.Wait()
+	}
+	return nil, 0, false
+}
+
+// wakeWatches wakes waiting watches from time to time, for leases that lapse,
+// and when the caller leaves.
+func (p *Platform) wakeWatches(r *http.Request) func() {
+	ticker := time.NewTicker(watchTick)
+	done := make(chan struct{})
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				p.changed.Broadcast()
+			case <-r.Context().Done():
+				p.changed.Broadcast()
+				return
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (p *Platform) endWatch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls.Watches--
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// cutOff closes the connection without an answer.
+func cutOff(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(fmt.Sprintf("cut off a connection: %v", err))
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/savorystand/savoryservice/service.go
@@ -0,0 +1,124 @@
+// Package savoryservice is a small stand-in for a plain service beside the
+// model engines: it records callouts, reservations and permits and answers
+// rosters. It counts every execution, so that a doubled action shows.
+package savoryservice
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxBodyBytes bounds one request.
+const maxBodyBytes = 1 << 20
+
+// HeaderKey carries the caller's idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+// Service is the stand-in. Its exported fields are set before its first use.
+type Service struct {
+	Name string
+
+	mu       sync.Mutex
+	faults   Faults
+	executed map[string]int
+	total    int
+}
+
+// Faults are the faults that are switched on.
+type Faults struct {
+	// Delay is added to each request before it is carried out.
+	Delay time.Duration
+	// CutAfter cuts the connection off after the request was carried out.
+	CutAfter bool
+	// CutBefore cuts the connection off before it is carried out.
+	CutBefore bool
+	// Silent accepts requests and neither carries them out nor answers.
+	Silent bool
+	// AnswerBytes pads the answer to that length.
+	AnswerBytes int
+}
+
+// Receipt is the answer to an action.
+type Receipt struct {
+	Service string
+	// Number counts the actions that were carried out.
+	Number int
+	Body   string
+}
+
+// SetFaults replaces the faults that are switched on.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Executed returns how often requests with the key were carried out.
+func (s *Service) Executed(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.executed[key]
+}
+
+// Total returns how many actions were carried out.
+func (s *Service) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// ServeHTTP answers GET with the roster and carries any other method out.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if faults.CutBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Delay > 0 {
+		time.Sleep(faults.Delay)
+	}
+	if r.Method == http.MethodGet {
+		writeJSON(w, http.StatusOK, Receipt{Service: s.Name, Body: r.URL.Path})
+		return
+	}
+	number := s.carryOut(r.Header.Get(HeaderKey))
+	if faults.CutAfter {
+		panic(http.ErrAbortHandler)
+	}
+	receipt := Receipt{Service: s.Name, Number: number, Body: string(body)}
+	if faults.AnswerBytes > 0 {
+		receipt.Body = fmt.Sprintf("%0*d", faults.AnswerBytes, number)
+	}
+	writeJSON(w, http.StatusCreated, receipt)
+}
+
+func (s *Service) carryOut(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.executed == nil {
+		s.executed = make(map[string]int)
+	}
+	s.executed[key]++
+	s.total++
+	return s.total
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/savorystand/savorysite/client.go
@@ -0,0 +1,165 @@
+package savorysite
+
+// This file defines the caller of a site.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Caller sends requests as a customer. Its exported fields are set before its
+// first use.
+type Caller struct {
+	// Entry is the callers' address of an entry.
+	Entry netip.AddrPort
+	// Key is the customer's key.
+	Key string
+	// Client sends the requests; nil means http.DefaultClient.
+	Client *http.Client
+}
+
+// Reply is the answer to a plain request.
+type Reply struct {
+	Status     int
+	Verdict    string
+	Replayed   bool
+	RetryAfter string
+	Body       string
+}
+
+// Generated is a streamed answer.
+type Generated struct {
+	// Text holds the pieces as they came.
+	Text []string
+	// Whole says that the stream ended as a whole answer does.
+	Whole bool
+	// First is the time to the first piece; Gaps are the times between pieces.
+	First time.Duration
+	Gaps  []time.Duration
+	// Problem is the error event or the refusal, if any.
+	Problem string
+	Status  int
+}
+
+// Send sends a plain request; key may be empty.
+func (c *Caller) Send(ctx context.Context, method, path, body, key string) (Reply, error) {
+	req, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return Reply{
+		Status: resp.StatusCode, Verdict: resp.Header.Get("Savorycart-Verdict"),
+		Replayed: resp.Header.Get("Idempotent-Replayed") == "true", RetryAfter: resp.Header.Get("Retry-After"),
+		Body: string(text),
+	}, err
+}
+
+// Generate asks for a streamed completion.
+func (c *Caller) Generate(ctx context.Context, model, prompt string, tokens int) (Generated, error) {
+	body, err := json.Marshal(struct {
+		Model     string `json:"model"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"max_tokens"`
+		Stream    bool   `json:"stream"`
+	}{model, prompt, tokens, true})
+	if err != nil {
+		return Generated{}, err
+	}
+	req, err := c.request(ctx, http.MethodPost, "/v1/completions", string(body))
+	if err != nil {
+		return Generated{}, err
+	}
+	begun := time.Now()
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return Generated{}, err
+	}
+	defer resp.Body.Close()
+	g := Generated{Status: resp.StatusCode}
+	if resp.StatusCode != http.StatusOK {
+		text, err := io.ReadAll(resp.Body)
+		g.Problem = string(text)
+		return g, err
+	}
+	return g, g.read(resp.Body, begun)
+}
+
+// streamEvent is one event of a streamed completion.
+type streamEvent struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+func (g *Generated) read(body io.Reader, begun time.Time) error {
+	last := begun
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			g.Whole = true
+			continue
+		}
+		var event streamEvent
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return fmt.Errorf("event %q: %w", data, err)
+		}
+		if event.Error != nil {
+			g.Problem = event.Error.Message
+			continue
+		}
+		now := time.Now()
+		if len(g.Text) == 0 {
+			g.First = now.Sub(begun)
+		} else {
+			g.Gaps = append(g.Gaps, now.Sub(last))
+		}
+		last = now
+		for _, choice := range event.Choices {
+			g.Text = append(g.Text, choice.Text)
+		}
+	}
+	if err := scanner.Err(); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return nil
+}
+
+func (c *Caller) request(ctx context.Context, method, path, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Entry.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	return req, nil
+}
+
+func (c *Caller) client() *http.Client {
+	if c.Client != nil {
+		return c.Client
+	}
+	return http.DefaultClient
+}
