Add the operators' command line and the stand-ins as processes

Cause: operators had no way to check, submit or see a document, and the programs could not be started separately.

Seen: the walk-through of docs/OPERATIONS.md, run as written with three entries, two engines, a service and the platform as processes: revision 1 then 2 in force at all three, a wrong token and a stale revision end with exit code 3, a drained entry leaves.

Conclusion: each program works when started separately.

--- /dev/null
+++ b/savoryctl/document.go
@@ -0,0 +1,147 @@
+package main
+
+// This file defines the commands that read and change the document.
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"savorycart.example/savorycore/savoryadmin"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+const (
+	// submitTries is the number of calls for one submission whose outcome stays
+	// unknown.
+	submitTries = 3
+	// submitPause is the pause between them.
+	submitPause = time.Second
+)
+
+// checked is the result of the command check.
+type checked struct {
+	Sections []savoryconfig.Section
+}
+
+func runCheck(s *session, args []string) error {
+	o := s.options("check")
+	if err := o.parse(args, 1); err != nil {
+		return err
+	}
+	file := o.set.Arg(0)
+	doc, _, err := readDocument(file)
+	if err != nil {
+		return err
+	}
+	if err := doc.Check(); err != nil {
+		var input *savoryconfig.InputError
+		if errors.As(err, &input) {
+			input.File = file
+		}
+		return err
+	}
+	return o.print(s, checked{Sections: doc.SectionsIn()}, func() { fmt.Fprintln(s.out, "the document is right") })
+}
+
+func runInit(s *session, args []string) error {
+	o := s.options("init")
+	submission := o.set.String("submission", "", "`ID` of an earlier submission whose outcome is unknown")
+	if err := o.parse(args, 1); err != nil {
+		return err
+	}
+	_, text, err := readDocument(o.set.Arg(0))
+	if err != nil {
+		return err
+	}
+	client, err := o.client(s)
+	if err != nil {
+		return err
+	}
+	return s.submit(o, *submission, func(id string) (savoryadmin.Accepted, error) {
+		return client.Bootstrap(s.ctx, id, text)
+	})
+}
+
+func runShow(s *session, args []string) error {
+	o := s.options("show")
+	section := o.set.String("section", "", "`name` of a section")
+	if err := o.parse(args, 0); err != nil {
+		return err
+	}
+	client, err := o.client(s)
+	if err != nil {
+		return err
+	}
+	doc, err := client.Document(s.ctx, savoryconfig.Section(*section))
+	if err != nil {
+		return err
+	}
+	parsed, err := savoryconfig.Parse("entry "+client.Entry.String(), doc.Text)
+	if err != nil {
+		return err
+	}
+	shown := struct {
+		Revision uint64
+		Document *savoryconfig.Document
+	}{doc.Revision, parsed}
+	return o.print(s, shown, func() {
+		fmt.Fprintf(s.out, "# revision %d\n%s", doc.Revision, doc.Text)
+	})
+}
+
+func runSubmit(s *session, args []string) error {
+	o := s.options("submit")
+	section := o.set.String("section", "", "`name` of the section")
+	read := o.set.Uint64("read", 0, "`revision` that the section was read at, as show prints it")
+	submission := o.set.String("submission", "", "`ID` of an earlier submission whose outcome is unknown")
+	if err := o.parse(args, 1); err != nil {
+		return err
+	}
+	if !savoryconfig.Section(*section).Valid() {
+		return fmt.Errorf("-section: %q is not one of %v", *section, savoryconfig.Sections())
+	}
+	_, text, err := readDocument(o.set.Arg(0))
+	if err != nil {
+		return err
+	}
+	client, err := o.client(s)
+	if err != nil {
+		return err
+	}
+	return s.submit(o, *submission, func(id string) (savoryadmin.Accepted, error) {
+		return client.Submit(s.ctx, savoryconfig.Section(*section), *read, id, text)
+	})
+}
+
+// submit calls send with one submission ID until the outcome is known.
+func (s *session) submit(o *options, id string, send func(id string) (savoryadmin.Accepted, error)) error {
+	if id == "" {
+		id = rand.Text()
+	}
+	for try := 1; ; try++ {
+		accepted, err := send(id)
+		if err == nil {
+			return o.print(s, accepted, func() { fmt.Fprintf(s.out, "accepted as revision %d\n", accepted.Revision) })
+		}
+		// An error without a verdict came from the connection: the entry may
+		// have accepted the change.
+		if savoryverdict.Of(err) == savoryverdict.NotRun || try == submitTries {
+			fmt.Fprintf(s.errOut, "submission %s\n", id)
+			return savoryverdict.Wrap(err)
+		}
+		time.Sleep(submitPause)
+	}
+}
+
+func readDocument(file string) (*savoryconfig.Document, []byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, nil, fmt.Errorf("document: %w", err)
+	}
+	doc, err := savoryconfig.Parse(file, text)
+	return doc, text, err
+}
--- a/savoryentry/savorynode/admin.go
+++ b/savoryentry/savorynode/admin.go
@@ -21,18 +21,16 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
 
+	"savorycart.example/savorycore/savoryadmin"
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorymember"
-	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryversion"
 	"savorycart.example/savorycore/savoryworld"
 )
 
-// headerRevision carries the revision of a document.
-const headerRevision = "Savorycart-Revision"
-
 const (
 	// maxDocumentBytes bounds a submitted document.
 	maxDocumentBytes = 16 << 20
@@ -58,49 +56,6 @@
 	drain    func()
 }
 
-// Status is what an entry says of itself.
-type Status struct {
-	Address  netip.AddrPort
-	Zone     string
-	Region   string
-	Revision uint64
-	Sections []SectionStatus
-	Ready    bool
-	// NotReady says why the entry is not ready.
-	NotReady string `json:",omitempty"`
-	Draining bool
-	Relay    bool
-	InFlight int
-	Peers    []PeerStatus
-	Servers  []savorychain.ServerStatus
-	Leaving  []savorymember.Mark
-	Traffic  savorypeer.Traffic
-}
-
-// SectionStatus is the revision that last changed a section.
-type SectionStatus struct {
-	Section  savoryconfig.Section
-	Revision uint64
-	Owner    string
-}
-
-// PeerStatus is another entry as this one sees it.
-type PeerStatus struct {
-	Address netip.AddrPort
-	Zone    string
-	Live    bool
-}
-
-// Accepted answers a submission.
-type Accepted struct {
-	Revision uint64
-}
-
-// Leave asks to mark a backend server.
-type Leave struct {
-	Leaving bool
-}
-
 // handler returns the handler of the operators' listener.
 func (a *admin) handler() http.Handler {
 	router := bunrouter.New()
@@ -141,9 +96,9 @@
 
 func (a *admin) serveStatus(w http.ResponseWriter, _ bunrouter.Request) error {
 	now := a.now()
-	status := Status{
+	status := savoryadmin.Status{
 		Address: a.settings.Peers.Address, Zone: a.settings.Zone, Region: a.settings.Region,
-		Revision: a.keeper.revision(), Draining: a.spread.draining.Load(), Relay: a.spread.isRelay(),
+		Version: savoryversion.Version, Revision: a.keeper.revision(), Draining: a.spread.draining.Load(), Relay: a.spread.isRelay(),
 		InFlight: a.flights.count(), Traffic: a.spread.peers.Traffic(),
 	}
 	if err := a.ready(); err != nil {
@@ -153,7 +108,7 @@
 	if s := a.keeper.snapshot(); s != nil {
 		for _, section := range savoryconfig.Sections() {
 			owner, _ := s.Document.Owner(section)
-			status.Sections = append(status.Sections, SectionStatus{Section: section, Revision: s.Root.Section(section).Revision, Owner: owner.Name})
+			status.Sections = append(status.Sections, savoryadmin.SectionStatus{Section: section, Revision: s.Root.Section(section).Revision, Owner: owner.Name})
 		}
 	}
 	a.tables.members.with(func(m *memberState) {
@@ -162,7 +117,7 @@
 			live[p.Address] = true
 		}
 		for _, p := range m.table.Known() {
-			status.Peers = append(status.Peers, PeerStatus{Address: p.Address, Zone: p.Zone, Live: live[p.Address]})
+			status.Peers = append(status.Peers, savoryadmin.PeerStatus{Address: p.Address, Zone: p.Zone, Live: live[p.Address]})
 		}
 		status.Leaving = m.marks.All(now)
 	})
@@ -190,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	w.Header().Set(headerRevision, strconv.FormatUint(revision, 10))
+	w.Header().Set(savoryadmin.HeaderRevision, strconv.FormatUint(revision, 10))
 	w.Header().Set("Content-Type", "application/toml")
 	_, err = w.Write(text)
 	return err
@@ -269,7 +224,7 @@
 		a.log.WithError(err).Error("accepted revision not yet in force here")
 	}
 	a.spread.announceRoot(ctx, done.root, done.buckets)
-	writeJSON(w, http.StatusOK, Accepted{Revision: done.root.Revision})
+	writeJSON(w, http.StatusOK, savoryadmin.Accepted{Revision: done.root.Revision})
 	return nil
 }
 
@@ -296,7 +251,7 @@
 	if a.keeper.snapshot().Server(name) == nil {
 		return notFound("name", "no backend server %q", name)
 	}
-	var leave Leave
+	var leave savoryadmin.Leave
 	dec := json.NewDecoder(io.LimitReader(r.Body, maxDocumentBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&leave); err != nil {
--- a/savoryentry/savorynode/callers.go
+++ b/savoryentry/savorynode/callers.go
@@ -22,6 +22,7 @@
 	"github.com/apex/log"
 	"github.com/uptrace/bunrouter"
 
+	"savorycart.example/savorycore/savoryadmin"
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
@@ -30,7 +31,7 @@
 // Headers of requests and answers.
 const (
 	headerRequestID = "X-Request-Id"
-	headerVerdict   = "Savorycart-Verdict"
+	headerVerdict   = savoryadmin.HeaderVerdict
 	headerCustomer  = "Savorycart-Customer"
 	headerReplayed  = "Idempotent-Replayed"
 	headerKey       = "Idempotency-Key"
@@ -197,26 +198,13 @@
 	return body, nil
 }
 
-// errorBody is the form of errors towards callers: that of the OpenAI API with
-// the verdict added.
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Message string                `json:"message"`
-	Type    string                `json:"type"`
-	Param   string                `json:"param,omitempty"`
-	Code    string                `json:"code"`
-	Verdict savoryverdict.Verdict `json:"Verdict"`
-}
-
-func newErrorBody(e *savoryverdict.Error) errorBody {
+// newErrorBody returns the form in which e is written.
+func newErrorBody(e *savoryverdict.Error) savoryadmin.ErrorBody {
 	kind := "server_error"
 	if e.Status < http.StatusInternalServerError {
 		kind = "invalid_request_error"
 	}
-	return errorBody{Error: errorDetail{Message: e.Message, Type: kind, Param: e.Field, Code: e.Code, Verdict: e.Verdict}}
+	return savoryadmin.ErrorBody{Error: savoryadmin.ErrorDetail{Message: e.Message, Type: kind, Param: e.Field, Code: e.Code, Verdict: e.Verdict}}
 }
 
 // writeError writes e as the whole answer.
--- a/savorystand/demo.go
+++ b/savorystand/demo.go
@@ -203,7 +203,7 @@
 	doc.Customers = slices.Clone(doc.Customers)
 	doc.Customers[0].Contract.Concurrency++
 	begun := time.Now()
-	if err := d.site.Submit(d.site.Nodes[0], savoryconfig.Customers, "desk", 1, &doc); err != nil {
+	if _, err := d.site.Nodes[0].Submit(d.ctx, savoryconfig.Customers, "desk", 1, &doc); err != nil {
 		return "", err
 	}
 	if err := d.site.WaitRevision(2); err != nil {
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -4,13 +4,12 @@
 package savorysite
 
 import (
-	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +17,7 @@
 
 	"github.com/apex/log"
 
+	"savorycart.example/savorycore/savoryadmin"
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savoryworld"
@@ -208,14 +208,20 @@
 	return nil
 }
 
-// Submit submits a section at an entry and returns the accepted revision.
-func (s *Site) Submit(e *Entry, section savoryconfig.Section, team string, read uint64, doc *savoryconfig.Document) error {
+// Operator returns the client of an entry's operators' listener with a token.
+func (e *Entry) Operator(token string) *savoryadmin.Client {
+	return &savoryadmin.Client{Entry: e.Admin, Token: token}
+}
+
+// Submit submits a section of doc that was read at a revision and returns the
+// accepted revision.
+func (e *Entry) Submit(ctx context.Context, section savoryconfig.Section, team string, read uint64, doc *savoryconfig.Document) (uint64, error) {
 	text, err := doc.Only(section).Text()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	url := fmt.Sprintf("http://%s/v1/config/sections/%s?read=%d", e.Admin, section, read)
-	return post(url, TeamToken(team), text)
+	accepted, err := e.Operator(TeamToken(team)).Submit(ctx, section, read, rand.Text(), text)
+	return accepted.Revision, err
 }
 
 // bootstrap submits the first document once an entry answers.
@@ -224,35 +230,15 @@
 	if err != nil {
 		return err
 	}
+	submission := rand.Text()
 	var last error
 	wait := Eventually(readyTimeout, "the first document accepted", func() bool {
-		last = post("http://"+s.Nodes[0].Admin.String()+"/v1/config/document", BootstrapToken, text)
+		_, last = s.Nodes[0].Operator(BootstrapToken).Bootstrap(context.Background(), submission, text)
 		return last == nil
 	})
 	return errors.Join(wait, last)
 }
 
-func post(url, token string, body []byte) error {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d: %s", url, resp.StatusCode, text)
-	}
-	return nil
-}
-
 // startEngines starts the engines of three stages on mixed accelerators.
 func (s *Site) startEngines() error {
 	stages := []savoryworld.LayerRange{{From: 0, To: 5}, {From: 5, To: 9}, {From: 9, To: Layers}}
