--- a/savorycore/savorychain/estimate.go
+++ b/savorycore/savorychain/estimate.go
@@ -9,53 +9,68 @@
 	"savorycart.example/savorycore/savoryworld"
 )
 
+// minPromptPart is the part of a step, as its inverse, that is left to prompts
+// however many requests run.
+const minPromptPart = 8
+
 // load estimates the work at the server now: the last report, faded with age,
-// corrected by what this entry sent and saw finished since.
+// and what this entry sent that the report does not include.
 func (s *serverState) load(now time.Time) Work {
-	if s.reportAt.IsZero() {
-		return s.own
+	own := 0
+	for _, p := range s.pending {
+		if !p.done {
+			own += p.tokens
+		}
 	}
-	fade := math.Exp2(-now.Sub(s.reportAt).Seconds() / reportHalfLife.Seconds())
-	return Work{
-		Running: corrected(s.report.Running, s.own.Running, s.ownThen.Running, fade),
-		Prompt:  corrected(s.report.Prompt, s.own.Prompt, s.ownThen.Prompt, fade),
+	if s.reportAt.IsZero() {
+		return Work{Running: s.running, Prompt: own}
 	}
+	age := now.Sub(s.reportAt).Seconds()
+	others := float64(max(0, s.report.Running-s.runningThen)) * math.Exp2(-age/runningHalfLife.Seconds())
+	waiting := float64(s.report.Prompt) * math.Exp2(-age/promptHalfLife.Seconds())
+	return Work{Running: s.running + int(math.Round(others)), Prompt: own + int(math.Round(waiting))}
 }
 
-// corrected returns the estimate of one amount. Of the reported amount, the
-// part beyond this entry's own work then belongs to other entries and fades.
-func corrected(report, own, ownThen int, fade float64) int {
-	others := max(0, report-ownThen)
-	return own + int(math.Round(float64(others)*fade))
-}
-
-// stepTime returns the time of the engine's step when running requests take
-// part in it.
-func (s *serverState) stepTime(running int) time.Duration {
-	tokens := min(max(running, 1), s.accelerator.MaxTokens)
-	return s.accelerator.StepTime(s.server.Layers.Count(), tokens)
+// batchOf returns the number of running requests that take part in one step
+// here. Each request has one token under way, which is at this stage for about
+// the stage's part of the model's layers.
+func (s *serverState) batchOf(running, layers int) int {
+	part := float64(s.server.Layers.Count()) / float64(layers)
+	return max(1, int(math.Round(float64(running)*part)))
 }
 
 // tokenTime returns the time between two tokens of a request at this engine,
-// with the request itself counted. With more requests than fit into one step a
-// request takes part in only some of the steps.
-func (s *serverState) tokenTime(load Work) time.Duration {
-	running := load.Running + 1
-	step := s.stepTime(running)
-	if running <= s.accelerator.MaxTokens {
+// with the request itself counted, for a model of layers. With more requests
+// than fit into one step a request takes part in only some of the steps.
+func (s *serverState) tokenTime(load Work, layers int) time.Duration {
+	batch := s.batchOf(load.Running+1, layers)
+	room := s.accelerator.MaxTokens
+	if load.Prompt > 0 {
+		// Waiting prompts fill the steps.
+		return s.accelerator.StepTime(s.server.Layers.Count(), room) * time.Duration(1+batch/room)
+	}
+	step := s.accelerator.StepTime(s.server.Layers.Count(), min(batch, room))
+	if batch <= room {
 		return step
 	}
-	return time.Duration(float64(step) * float64(running) / float64(s.accelerator.MaxTokens))
+	return time.Duration(float64(step) * float64(batch) / float64(room))
 }
 
 // promptTime returns the time until a prompt of tokens has been run, behind
-// the prompts that wait already. Running requests take their part of each
-// step.
-func (s *serverState) promptTime(load Work, tokens int) time.Duration {
-	room := max(s.accelerator.MaxTokens-load.Running, s.accelerator.MaxTokens/8, 1)
-	steps := (load.Prompt + tokens + room - 1) / room
-	full := s.accelerator.StepTime(s.server.Layers.Count(), min(s.accelerator.MaxTokens, load.Running+load.Prompt+tokens))
-	return time.Duration(max(steps, 1)) * full
+// the prompts that wait already, for a model of layers. Running requests take
+// their part of each step first.
+func (s *serverState) promptTime(load Work, tokens, layers int) time.Duration {
+	batch := s.batchOf(load.Running, layers)
+	most := s.accelerator.MaxTokens
+	room := max(most-batch, most/minPromptPart, 1)
+	waiting := load.Prompt + tokens
+	full := waiting / room
+	rest := waiting % room
+	t := time.Duration(full) * s.accelerator.StepTime(s.server.Layers.Count(), min(most, batch+room))
+	if rest > 0 {
+		t += s.accelerator.StepTime(s.server.Layers.Count(), min(most, batch+rest))
+	}
+	return t
 }
 
 // transferTime returns the time that tokens take over a link.
--- /dev/null
+++ b/savorycore/savorychain/pace.go
@@ -0,0 +1,36 @@
+package savorychain
+
+// This file defines pace, which keeps the part of late first tokens low.
+
+import "time"
+
+const (
+	// latePart is the part of first tokens that may be late.
+	latePart = 0.03
+	// paceStep is the relative step of the margin after a late first token.
+	paceStep = 0.2
+	// maxMargin bounds the margin.
+	maxMargin = 3
+)
+
+// pace corrects estimates of the first token by what was seen. Its margin
+// grows when a first token is late and shrinks when one is in time, in steps
+// whose sizes balance when latePart of them are late. The zero value is ready
+// for use.
+type pace struct {
+	// excess is the margin beyond 1.
+	excess float64
+}
+
+// margin returns the factor by which an estimate is raised before it is
+// compared with the bound, at least 1.
+func (p *pace) margin() float64 { return 1 + p.excess }
+
+// observe takes the time of a first token and its bound.
+func (p *pace) observe(first, bound time.Duration) {
+	if first > bound {
+		p.excess = min(maxMargin-1, p.excess+paceStep)
+		return
+	}
+	p.excess = max(0, p.excess-paceStep*latePart/(1-latePart))
+}
--- a/savorycore/savorychain/service.go
+++ b/savorycore/savorychain/service.go
@@ -54,8 +54,8 @@
 		}
 		return -1
 	}
-	if a.own.Running != b.own.Running {
-		return a.own.Running - b.own.Running
+	if a.running != b.running {
+		return a.running - b.running
 	}
 	delay := func(s *serverState) time.Duration { return t.snapshot.Link(t.Zone, s.server.Zone).Delay.D() }
 	return int(delay(a) - delay(b))
@@ -65,13 +65,13 @@
 // FinishedService.
 func (t *Table) SentService(server string) {
 	if s := t.states[server]; s != nil {
-		s.own.Running++
+		s.running++
 	}
 }
 
 // FinishedService records the end of a request to a plain service.
 func (t *Table) FinishedService(server string) {
 	if s := t.states[server]; s != nil {
-		s.own.Running = max(0, s.own.Running-1)
+		s.running = max(0, s.running-1)
 	}
 }
--- a/savorycore/savorychain/status.go
+++ b/savorycore/savorychain/status.go
@@ -13,8 +13,8 @@
 	Server    string
 	Leaving   bool
 	Suspected bool
-	// Own is the entry's own work there.
-	Own Work
+	// Own is the number of the entry's own requests there.
+	Own int
 	// Estimate is the estimated work of all entries there.
 	Estimate Work
 }
@@ -24,7 +24,7 @@
 	status := make([]ServerStatus, 0, len(t.states))
 	for name, s := range t.states {
 		status = append(status, ServerStatus{
-			Server: name, Leaving: s.leaves(), Suspected: s.suspect(now), Own: s.own, Estimate: s.load(now),
+			Server: name, Leaving: s.leaves(), Suspected: s.suspect(now), Own: s.running, Estimate: s.load(now),
 		})
 	}
 	slices.SortFunc(status, func(a, b ServerStatus) int { return cmp.Compare(a.Server, b.Server) })
--- a/savorycore/savorychain/table.go
+++ b/savorycore/savorychain/table.go
@@ -34,9 +34,11 @@
 	// time doubles with each failure in a row.
 	suspectMin = 500 * time.Millisecond
 	suspectMax = 30 * time.Second
-	// reportHalfLife is the time in which the part of a load report that
-	// concerns other entries loses half of its weight.
-	reportHalfLife = 2 * time.Second
+	// runningHalfLife and promptHalfLife are the times in which the parts of a
+	// load report lose half of their weight. Prompts are run within a fraction
+	// of a second; answers last for several.
+	runningHalfLife = 2 * time.Second
+	promptHalfLife  = 500 * time.Millisecond
 )
 
 // Table is the entry's view of the engines. Its exported fields are set before
@@ -57,6 +59,7 @@
 	states   map[string]*serverState
 	groups   map[modelKey][]*group
 	prefixes prefixIndex
+	pace     pace
 }
 
 // modelKey names a version of a model.
@@ -77,11 +80,15 @@
 	accelerator savoryworld.Accelerator
 	leaving     bool
 
-	own      Work
+	// running is the number of the entry's own requests.
+	running int
+	// pending is the entry's own prompts that no report includes yet.
+	pending []*pendingPrompt
+
 	report   Work
 	reportAt time.Time
-	// ownThen is the entry's own work when the report came.
-	ownThen Work
+	// runningThen is the number of own requests when the report came.
+	runningThen int
 
 	failures     int
 	suspectUntil time.Time
@@ -178,24 +185,61 @@
 	}
 }
 
-// Sent records that the entry sent a request with a prompt of tokens along
-// chain. The caller pairs it with PromptDone and Finished.
-func (t *Table) Sent(chain []savoryengine.Hop, tokens int) {
-	t.eachState(chain, func(s *serverState) {
-		s.own.Running++
-		s.own.Prompt += tokens
-	})
+// Flight is a request that was sent along a chain.
+type Flight struct {
+	// Chain is the chain that the request was sent along.
+	Chain  []savoryengine.Hop
+	prompt []*pendingPrompt
+}
+
+// pendingPrompt is a prompt on its way to one engine, or waiting there.
+type pendingPrompt struct {
+	tokens int
+	// arrives is when it is expected to reach the engine's queue; reports from
+	// then on include it.
+	arrives time.Time
+	done    bool
+}
+
+// Sent records that the entry sent a request with a prompt of tokens along the
+// chosen chain at now. The caller tells its progress by PromptDone and
+// Finished.
+func (t *Table) Sent(choice Choice, tokens int, now time.Time) *Flight {
+	f := &Flight{Chain: choice.Chain}
+	for i, hop := range choice.Chain {
+		s := t.states[hop.Server]
+		if s == nil {
+			continue
+		}
+		p := &pendingPrompt{tokens: tokens, arrives: now.Add(choice.arrive[i])}
+		s.running++
+		s.pending = append(s.pending, p)
+		f.prompt = append(f.prompt, p)
+	}
+	return f
 }
 
 // PromptDone records that the prompt of a sent request was run, or that the
 // request ended before.
-func (t *Table) PromptDone(chain []savoryengine.Hop, tokens int) {
-	t.eachState(chain, func(s *serverState) { s.own.Prompt = max(0, s.own.Prompt-tokens) })
+func (t *Table) PromptDone(f *Flight) {
+	for _, p := range f.prompt {
+		p.done = true
+	}
+	f.prompt = nil
 }
 
+// FirstToken records how long a first token took, and the bound that it had.
+func (t *Table) FirstToken(took, bound time.Duration) { t.pace.observe(took, bound) }
+
 // Finished records that a sent request ended.
-func (t *Table) Finished(chain []savoryengine.Hop) {
-	t.eachState(chain, func(s *serverState) { s.own.Running = max(0, s.own.Running-1) })
+func (t *Table) Finished(f *Flight) {
+	t.PromptDone(f)
+	for _, hop := range f.Chain {
+		if s := t.states[hop.Server]; s != nil {
+			s.running = max(0, s.running-1)
+			s.dropPending(func(*pendingPrompt) bool { return false })
+		}
+	}
 }
 
 // Report takes an engine's load report that came at now.
@@ -206,7 +250,8 @@
 	}
 	s.report = Work{Running: load.Running, Prompt: load.Queued}
 	s.reportAt = now
-	s.ownThen = s.own
+	s.runningThen = s.running
+	s.dropPending(func(p *pendingPrompt) bool { return !p.arrives.After(now) })
 }
 
 // RemainsInUse reports whether a server may be given new work.
@@ -215,12 +260,9 @@
 	return s != nil && !s.leaves()
 }
 
-func (t *Table) eachState(chain []savoryengine.Hop, f func(*serverState)) {
-	for _, hop := range chain {
-		if s := t.states[hop.Server]; s != nil {
-			f(s)
-		}
-	}
+// dropPending drops the prompts that are done or that drop says so of.
+func (s *serverState) dropPending(drop func(*pendingPrompt) bool) {
+	s.pending = slices.DeleteFunc(s.pending, func(p *pendingPrompt) bool { return p.done || drop(p) })
 }
 
 func (s *serverState) leaves() bool { return s.leaving || s.server.Leaving }
--- a/savoryctl/entries.go
+++ b/savoryctl/entries.go
@@ -91,7 +91,7 @@
 	return o.print(s, status.Servers, func() {
 		w := s.table("SERVER", "LEAVING", "SUSPECTED", "OWN REQUESTS", "ALL REQUESTS", "PROMPT TOKENS")
 		for _, v := range status.Servers {
-			fmt.Fprintf(w, "%s\t%t\t%t\t%d\t%d\t%d\n", v.Server, v.Leaving, v.Suspected, v.Own.Running, v.Estimate.Running, v.Estimate.Prompt)
+			fmt.Fprintf(w, "%s\t%t\t%t\t%d\t%d\t%d\n", v.Server, v.Leaving, v.Suspected, v.Own, v.Estimate.Running, v.Estimate.Prompt)
 		}
 		_ = w.Flush()
 	})
--- a/savoryentry/savorynode/callers.go
+++ b/savoryentry/savorynode/callers.go
@@ -349,20 +349,40 @@
 	}
 }
 
-// admitContract admits a request under the customer's contract. The returned
-// function ends it; it takes the number of reserved tokens that were not used.
-func (t *tables) admitContract(customer *savoryworld.Customer, tokens int, now time.Time) (func(unused int), error) {
+// admission is a request that a contract admitted.
+type admission struct {
+	tables   *tables
+	customer *savoryworld.Customer
+	// patience is that of savorylimit.Fairness when the request came.
+	patience float64
+}
+
+// admitContract admits a request under the customer's contract. The caller
+// ends the admission.
+func (t *tables) admitContract(customer *savoryworld.Customer, tokens int, now time.Time) (*admission, error) {
+	a := &admission{tables: t, customer: customer}
 	var err error
 	t.limits.with(func(l *limitState) {
-		err = l.limiter.Admit(customer, tokens, now)
+		if err = l.limiter.Admit(customer, tokens, now); err != nil {
+			return
+		}
 		l.budget.Request(now)
+		a.patience = l.fairness.Patience(customer.Name)
+		l.fairness.Begin(customer.Name, customer.Contract.Weight)
 	})
 	if err != nil {
 		return nil, err
 	}
-	return func(unused int) {
-		t.limits.with(func(l *limitState) { l.limiter.Done(customer.Name, unused) })
-	}, nil
+	return a, nil
+}
+
+// end ends the request; unused is the number of reserved tokens that it did
+// not use.
+func (a *admission) end(unused int) {
+	a.tables.limits.with(func(l *limitState) {
+		l.limiter.Done(a.customer.Name, unused)
+		l.fairness.End(a.customer.Name)
+	})
 }
 
 // mayRetry takes one retry from the budget.
--- a/savoryentry/savorynode/completions.go
+++ b/savoryentry/savorynode/completions.go
@@ -23,9 +23,9 @@
 	defaultMaxTokens = 128
 	// maxStops bounds the stop texts of a request.
 	maxStops = 4
-	// prefixTokens is the number of leading prompt tokens that name a prefix
-	// for caches.
-	prefixTokens = 64
+	// leadTokens is the number of leading prompt tokens that name a prefix for
+	// caches, where no system message does.
+	leadTokens = 64
 )
 
 // completionRequest is the body of both completion calls; Prompt belongs to
@@ -66,6 +66,7 @@
 	promptTokens int
 	maxTokens    int
 	prefix       uint64
+	prefixTokens int
 	sampling     savoryengine.Sampling
 }
 
@@ -93,12 +94,24 @@
 	if req.N != nil && *req.N != 1 {
 		return nil, savoryverdict.Invalid("n", "only 1 answer is given to a request")
 	}
+	c.promptTokens = len(strings.Fields(c.prompt))
+	c.namePrefix(req)
+	return c, nil
+}
+
+// namePrefix names the beginning of the prompt that other requests are likely
+// to share: the system message, or the first words.
+func (c *completion) namePrefix(req *completionRequest) {
+	if len(req.Messages) > 1 && req.Messages[0].Role == "system" {
+		c.prefix = xxhash.Sum64String(req.Messages[0].Content)
+		c.prefixTokens = len(strings.Fields(req.Messages[0].Content))
+		return
+	}
 	words := strings.Fields(c.prompt)
-	c.promptTokens = len(words)
-	if len(words) >= prefixTokens {
-		c.prefix = xxhash.Sum64String(strings.Join(words[:prefixTokens], " "))
+	if len(words) >= leadTokens {
+		c.prefix = xxhash.Sum64String(strings.Join(words[:leadTokens], " "))
+		c.prefixTokens = leadTokens
 	}
-	return c, nil
 }
 
 // decodeCompletion reads the JSON and refuses unknown fields and trailing
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -64,6 +64,9 @@
 	token func(*savoryengine.Token) error
 
 	avoid []string
+	// patience is the part of the bound on the first token up to which the
+	// request is admitted.
+	patience float64
 	// ranBefore says that an attempt may have run.
 	ranBefore bool
 	startedAt time.Time
@@ -95,15 +98,15 @@
 	}
 	now := p.callers.now()
 	reserved := c.promptTokens + c.maxTokens
-	done, err := p.callers.tables.admitContract(cl.customer, reserved, now)
+	admitted, err := p.callers.tables.admitContract(cl.customer, reserved, now)
 	if err != nil {
 		return err
 	}
 	g := &generation{
-		call: cl, c: c, startedAt: now, lastAt: now,
+		call: cl, c: c, startedAt: now, lastAt: now, patience: admitted.patience,
 		sequence: &savorystream.Sequence{Request: cl.id, Layers: c.pipeline.Layers},
 	}
-	defer func() { done(c.maxTokens - len(g.sequence.Emitted())) }()
+	defer func() { admitted.end(c.maxTokens - len(g.sequence.Emitted())) }()
 	form := &answerForm{id: cl.id, created: now.Unix(), c: c}
 	if c.stream {
 		return p.stream(w, r, g, form)
@@ -163,7 +166,7 @@
 // allowed.
 func (p *pipelineRunner) generate(ctx context.Context, g *generation) error {
 	for attempt := 1; ; attempt++ {
-		choice, err := p.choose(g)
+		choice, err := p.choose(g, attempt)
 		if err != nil {
 			return p.failed(g, err)
 		}
@@ -186,7 +189,7 @@
 }
 
 // choose picks the chain of the next attempt.
-func (p *pipelineRunner) choose(g *generation) (savorychain.Choice, error) {
+func (p *pipelineRunner) choose(g *generation, attempt int) (savorychain.Choice, error) {
 	now := p.callers.now()
 	emitted := len(g.sequence.Emitted())
 	req := savorychain.Request{
@@ -194,8 +197,10 @@
 		PromptTokens: g.c.promptTokens + emitted,
 		AnswerTokens: g.c.maxTokens - emitted,
 		Prefix:       g.c.prefix,
-		PrefixTokens: prefixTokens,
+		PrefixTokens: g.c.prefixTokens,
 		Avoid:        g.avoid,
+		Patience:     g.patience,
+		Begun:        attempt > 1,
 	}
 	choice, err := p.callers.tables.chooseChain(req, now)
 	if err != nil {
@@ -212,20 +217,19 @@
 // attempt runs one attempt on a chain. It returns nil once the answer is whole.
 func (p *pipelineRunner) attempt(ctx context.Context, g *generation, choice savorychain.Choice) error {
 	tokens := g.c.promptTokens + len(g.sequence.Emitted())
-	if !p.callers.tables.sent(choice.Chain, tokens) {
+	flight := p.callers.tables.sent(choice, tokens, p.callers.now())
+	if flight == nil {
 		return &savoryengine.FaultError{Verdict: savoryverdict.NotRun, Message: "a server of the chain began to leave"}
 	}
-	promptDone := p.accounting(choice.Chain, tokens)
 	defer func() {
-		promptDone()
-		p.callers.tables.chains.with(func(t *savorychain.Table) { t.Finished(choice.Chain) })
+		p.callers.tables.chains.with(func(t *savorychain.Table) { t.Finished(flight) })
 	}()
 	number := g.sequence.Begin(choice.Chain)
 	run := &savoryengine.Run{
 		Request: g.id, Attempt: number, Model: g.c.pipeline.Model, Version: g.c.pipeline.Version,
 		Layers: g.c.pipeline.Layers, Chain: choice.Chain, Prompt: g.c.prompt,
 		Emitted: slices.Clone(g.sequence.Emitted()), MaxTokens: g.c.maxTokens,
-		Priority: g.customer.Contract.Priority, Sampling: g.c.sampling,
+		Priority: g.priority(), Sampling: g.c.sampling,
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -233,7 +237,7 @@
 	defer stall.stop()
 	var rejected error
 	err := p.engines.Run(ctx, run, func(e savoryengine.Event) bool {
-		promptDone()
+		p.callers.tables.chains.with(func(t *savorychain.Table) { t.PromptDone(flight) })
 		stall.reset(p.stall(g, choice))
 		rejected = p.take(g, e.Token)
 		return rejected == nil
@@ -253,18 +257,6 @@
 	return err
 }
 
-// accounting returns a function that records once that the prompt was run.
-func (p *pipelineRunner) accounting(chain []savoryengine.Hop, tokens int) func() {
-	done := false
-	return func() {
-		if done {
-			return
-		}
-		done = true
-		p.callers.tables.chains.with(func(t *savorychain.Table) { t.PromptDone(chain, tokens) })
-	}
-}
-
 // take decides on one token and hands it to the caller if it is accepted.
 func (p *pipelineRunner) take(g *generation, t *savoryengine.Token) error {
 	outcome, err := g.sequence.Take(t)
@@ -311,6 +303,7 @@
 		}
 		if t.Index == 0 {
 			table.Ran(g.c.prefix, g.sequence.Chain())
+			table.FirstToken(now.Sub(g.startedAt), g.c.pipeline.FirstToken.D())
 		}
 	})
 }
@@ -377,6 +370,10 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
+	var overload *savorychain.OverloadError
+	if errors.As(err, &overload) {
+		return savoryverdict.Unavailable("Overloaded", max(overloadRetry, overload.RetryAfter()), "%v", overload)
+	}
 	verdict := savoryverdict.MayHaveRun
 	var fault *savoryengine.FaultError
 	noChain := errors.Is(err, savorychain.ErrNoChain)
@@ -401,6 +398,15 @@
 	return max(minStall, firstStallFactor*max(g.c.pipeline.FirstToken.D(), choice.FirstToken))
 }
 
+// priority returns the priority at the engines: that of the contract, lowered
+// while the customer is above its fair share.
+func (g *generation) priority() int {
+	if g.patience < 1 {
+		return g.customer.Contract.Priority - 1
+	}
+	return g.customer.Contract.Priority
+}
+
 // stall returns how long a chain may take from token to token.
 func (p *pipelineRunner) stall(g *generation, choice savorychain.Choice) time.Duration {
 	return max(minStall, stallFactor*max(g.c.pipeline.BetweenTokens.D(), choice.BetweenTokens))
--- a/savoryentry/savorynode/tables.go
+++ b/savoryentry/savorynode/tables.go
@@ -12,7 +12,6 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryconfig"
-	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savoryworld"
@@ -37,10 +36,11 @@
 	marks savorymember.Marks
 }
 
-// limitState is the contracts and the retry budget.
+// limitState is the contracts, the retry budget and the fair shares.
 type limitState struct {
-	limiter savorylimit.Limiter
-	budget  savorylimit.RetryBudget
+	limiter  savorylimit.Limiter
+	budget   savorylimit.RetryBudget
+	fairness savorylimit.Fairness
 }
 
 // tables holds the shared tables of one entry.
@@ -50,7 +50,7 @@
 	chains  guarded[savorychain.Table]
 }
 
-// chooseChain picks a chain and records the request as sent along it.
+// chooseChain picks a chain.
 func (t *tables) chooseChain(req savorychain.Request, now time.Time) (choice savorychain.Choice, err error) {
 	t.chains.with(func(table *savorychain.Table) {
 		choice, err = table.Choose(req, now)
@@ -58,19 +58,19 @@
 	return choice, err
 }
 
-// sent records that a request goes along chain, unless a server of it is
-// leaving since it was chosen.
-func (t *tables) sent(chain []savoryengine.Hop, promptTokens int) bool {
-	usable := true
+// sent records that a request with a prompt of tokens goes along the chosen
+// chain. It returns nil if a server of it began to leave since it was chosen.
+func (t *tables) sent(choice savorychain.Choice, tokens int, now time.Time) *savorychain.Flight {
+	var flight *savorychain.Flight
 	t.chains.with(func(table *savorychain.Table) {
-		for _, hop := range chain {
-			usable = usable && table.RemainsInUse(hop.Server)
-		}
-		if usable {
-			table.Sent(chain, promptTokens)
+		for _, hop := range choice.Chain {
+			if !table.RemainsInUse(hop.Server) {
+				return
+			}
 		}
+		flight = table.Sent(choice, tokens, now)
 	})
-	return usable
+	return flight
 }
 
 // loadSnapshot puts a snapshot in force in all tables.
--- /dev/null
+++ b/savorystand/measure.go
@@ -0,0 +1,100 @@
+package main
+
+// This file defines the subcommand that prints the measurements again.
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"savorycart.example/savorystand/savorylab"
+)
+
+func runMeasure(args []string) error {
+	flags := flag.NewFlagSet("measure", flag.ContinueOnError)
+	seed := flags.Uint64("seed", 1, "`seed` of the run")
+	warm := flags.Duration("warm", 10*time.Second, "virtual `time` before the measurement")
+	length := flags.Duration("time", 20*time.Second, "measured virtual `time`")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	lab := func() savorylab.Lab {
+		return savorylab.Lab{
+			Seed: *seed, Entries: 7, EnginesPerStage: 10, Warm: *warm, Time: *length,
+			PromptTokens: 160, AnswerTokens: 80,
+		}
+	}
+	what := flags.Arg(0)
+	for _, m := range []struct {
+		name string
+		run  func(func() savorylab.Lab) error
+	}{
+		{"routing", measureRouting},
+		{"prefixes", measurePrefixes},
+		{"customers", measureCustomers},
+	} {
+		if what != "" && what != m.name {
+			continue
+		}
+		fmt.Println("#", m.name, "seed", *seed)
+		if err := m.run(lab); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// prefixCount prefixes are in use, and an engine caches prefixRoom of them.
+const (
+	prefixCount = 200
+	prefixRoom  = 30
+)
+
+// measurePrefixes shows what the hints on cached prefixes give.
+func measurePrefixes(lab func() savorylab.Lab) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "LOAD\tPREFIX LENGTH\tPREFIXES\tHINTS\tCACHE HITS\tTHROUGHPUT\tFIRST p95")
+	for _, load := range []float64{0.5, 0.8} {
+		for _, length := range []int{64, 400} {
+			for _, hints := range []bool{false, true} {
+				l := lab()
+				l.Policy, l.Load = savorylab.Estimate, load
+				l.Prefixes, l.PrefixTokens, l.PrefixRoom, l.NoHints = prefixCount, length, prefixRoom, !hints
+				r := l.Run()
+				fmt.Fprintf(w, "%.2f\t%d\t%d\t%t\t%.3f\t%.3f\t%s\n", load, length, prefixCount, hints, r.CacheHits, r.Throughput, r.First95.Round(time.Millisecond))
+			}
+		}
+	}
+	return w.Flush()
+}
+
+// measureCustomers shows what a large customer does to small ones.
+func measureCustomers(lab func() savorylab.Lab) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "LOAD\tLARGE CUSTOMER\tFIRST p95 OF THE SMALL\tREFUSED OF THE SMALL\tREFUSED\tGOODPUT")
+	for _, part := range []struct{ load, large float64 }{{0.3, 0}, {1.2, 0.75}, {2, 0.85}} {
+		l := lab()
+		l.Policy, l.Load, l.Large = savorylab.Estimate, part.load, part.large
+		r := l.Run()
+		fmt.Fprintf(w, "%.2f\t%.2f\t%s\t%.3f\t%.3f\t%.3f\n", part.load, part.large, r.SmallFirst95.Round(time.Millisecond), r.SmallRefused, r.Refused, r.Goodput)
+	}
+	return w.Flush()
+}
+
+// measureRouting compares the policies at each load.
+func measureRouting(lab func() savorylab.Lab) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "LOAD\tPOLICY\tTHROUGHPUT\tGOODPUT\tREFUSED\tFIRST p95\tBETWEEN p95\tREQUESTS")
+	for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
+		for _, policy := range savorylab.Policies() {
+			l := lab()
+			l.Policy, l.Load = policy, load
+			r := l.Run()
+			fmt.Fprintf(w, "%.2f\t%s\t%.3f\t%.3f\t%.3f\t%s\t%s\t%d\n", load, policy, r.Throughput, r.Goodput, r.Refused,
+				r.First95.Round(time.Millisecond), r.Between95.Round(100*time.Microsecond), r.Requests)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/savorystand/savorylab/clock.go
@@ -0,0 +1,71 @@
+package savorylab
+
+// This file defines the virtual clock and its queue of events.
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs events in order of their time. Two runs with the same events run
+// them in the same order.
+type clock struct {
+	now    time.Time
+	events eventHeap
+	count  uint64
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+// after schedules run in d.
+func (c *clock) after(d time.Duration, run func()) {
+	c.count++
+	heap.Push(&c.events, event{at: c.now.Add(d), seq: c.count, run: run})
+}
+
+// runUntil runs the events up to end.
+func (c *clock) runUntil(end time.Time) {
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e, _ := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
+
+type eventHeap []event
+
+var _ heap.Interface = (*eventHeap)(nil)
+
+// Len returns the number of events.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less orders events by time, then by the order in which they were scheduled.
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+// Swap swaps two events.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push adds an event.
+func (h *eventHeap) Push(v any) {
+	e, _ := v.(event)
+	*h = append(*h, e)
+}
+
+// Pop removes the last event.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/savorystand/savorylab/engine.go
@@ -0,0 +1,134 @@
+package savorylab
+
+// This file defines the fake engine: a batch in virtual time.
+
+import (
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// engine runs work in steps. Each step takes the waiting tokens of running
+// answers first, then prompts by priority and order of arrival, up to the
+// accelerator's bound.
+type engine struct {
+	server      savoryworld.BackendServer
+	accelerator savoryworld.Accelerator
+	clock       *clock
+
+	decode  []*work
+	prompts []*work
+	busy    bool
+	// slow stretches each step; 1 is the configured speed.
+	slow float64
+	// dead engines finish no step.
+	dead bool
+	// sequences is the number of requests that have state here.
+	sequences int
+	prefixes  prefixCache
+	// ran counts the tokens that were run.
+	ran int64
+}
+
+// work is tokens of one request at one engine.
+type work struct {
+	left     int
+	priority int
+	done     func()
+}
+
+// add queues work and begins a step if the engine is idle.
+func (e *engine) add(w *work) {
+	if w.left == 1 {
+		e.decode = append(e.decode, w)
+	} else {
+		e.addPrompt(w)
+	}
+	e.begin()
+}
+
+// addPrompt inserts a prompt behind those of the same or a higher priority.
+func (e *engine) addPrompt(w *work) {
+	at := len(e.prompts)
+	for at > 0 && e.prompts[at-1].priority < w.priority {
+		at--
+	}
+	e.prompts = append(e.prompts, nil)
+	copy(e.prompts[at+1:], e.prompts[at:])
+	e.prompts[at] = w
+}
+
+// begin starts a step if there is work.
+func (e *engine) begin() {
+	if e.busy || e.dead {
+		return
+	}
+	room := e.accelerator.MaxTokens
+	var finished []*work
+	n := min(room, len(e.decode))
+	finished = append(finished, e.decode[:n]...)
+	e.decode = e.decode[n:]
+	room -= n
+	for room > 0 && len(e.prompts) > 0 {
+		w := e.prompts[0]
+		taken := min(room, w.left)
+		w.left -= taken
+		room -= taken
+		if w.left > 0 {
+			break
+		}
+		finished = append(finished, w)
+		e.prompts = e.prompts[1:]
+	}
+	tokens := e.accelerator.MaxTokens - room
+	if tokens == 0 {
+		return
+	}
+	e.busy = true
+	e.ran += int64(tokens)
+	step := e.accelerator.StepTime(e.server.Layers.Count(), tokens)
+	e.clock.after(stretch(step, e.slow), func() { e.end(finished) })
+}
+
+func (e *engine) end(finished []*work) {
+	e.busy = false
+	if e.dead {
+		return
+	}
+	for _, w := range finished {
+		w.done()
+	}
+	e.begin()
+}
+
+// load returns what the engine reports.
+func (e *engine) load() savoryengine.Load {
+	queued := 0
+	for _, w := range e.prompts {
+		queued += w.left
+	}
+	return savoryengine.Load{Server: e.server.Name, At: e.clock.now, Running: e.sequences, Queued: queued}
+}
+
+// prefixCache holds the prefixes that an engine has cached, oldest first.
+type prefixCache struct {
+	room  int
+	order []uint64
+}
+
+// use reports whether the prefix is cached, and caches it.
+func (p *prefixCache) use(prefix uint64) bool {
+	if prefix == 0 || p.room == 0 {
+		return false
+	}
+	for i, known := range p.order {
+		if known == prefix {
+			p.order = append(append(p.order[:i:i], p.order[i+1:]...), prefix)
+			return true
+		}
+	}
+	p.order = append(p.order, prefix)
+	if len(p.order) > p.room {
+		p.order = p.order[1:]
+	}
+	return false
+}
--- /dev/null
+++ b/savorystand/savorylab/lab.go
@@ -0,0 +1,424 @@
+// Package savorylab measures the routing policy in virtual time against fakes
+// of engines and links.
+//
+// A Lab has the size of a site of today: seven entries that share no state, and
+// thirty engines on mixed accelerators in three zones whose links differ a
+// hundredfold. It offers load at a part of the bound that the hardware allows
+// and reports throughput and times. A run repeats exactly by its seed.
+//
+// The bound is computed from the accelerators alone: each stage can run the sum
+// of its engines' highest rates, and the stage with the lowest sum limits the
+// tokens that run through all stages. Links, queues and uneven batches only
+// lower what is reached.
+package savorylab
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// modelName names the only pipeline.
+	modelName = "lab"
+	// modelLayers is its number of layers.
+	modelLayers = 48
+	// stageCount is the number of stages.
+	stageCount = 3
+	// reportEvery is the number of tokens between two load reports.
+	reportEvery = 8
+	// smallCustomers is the number of small customers.
+	smallCustomers = 20
+)
+
+// Lab is one run. Its exported fields are set before Run.
+type Lab struct {
+	Seed   uint64
+	Policy Policy
+	// Load is the offered load as a part of the bound.
+	Load float64
+	// Entries is the number of entries.
+	Entries int
+	// EnginesPerStage is the number of engines of each stage.
+	EnginesPerStage int
+	// Warm is the time before the measurement, Time the measured time.
+	Warm time.Duration
+	Time time.Duration
+	// PromptTokens and AnswerTokens are the means of the lengths.
+	PromptTokens int
+	AnswerTokens int
+	// Prefixes is the number of prompt prefixes in use; 0 for none.
+	Prefixes int
+	// PrefixTokens is the length of a prefix.
+	PrefixTokens int
+	// PrefixRoom is the number of prefixes that an engine caches.
+	PrefixRoom int
+	// NoHints hides prefixes from the policy; the engines cache them all the
+	// same.
+	NoHints bool
+	// Large, if above 0, is the part of the requests that one large customer
+	// sends; the others come from smallCustomers small ones.
+	Large float64
+
+	clock    clock
+	rand     *rand.Rand
+	snapshot *savoryconfig.Snapshot
+	engines  map[string]*engine
+	stages   [][]*engine
+	choosers []*chooser
+	zones    []string
+	result   Result
+	begin    time.Time
+	end      time.Time
+	first    []time.Duration
+	between  []time.Duration
+	small    []time.Duration
+}
+
+// Result is what a run measured.
+type Result struct {
+	Policy Policy
+	Load   float64
+	// Bound is the bound in tokens per second.
+	Bound float64
+	// Throughput is the part of the bound that was run for answers that were
+	// finished.
+	Throughput float64
+	// Goodput is the part of the bound that was run for answers within both
+	// times of the contract.
+	Goodput float64
+	// Refused is the part of the requests that were refused.
+	Refused float64
+	// First95 and Between95 are 95th percentiles over all answers.
+	First95   time.Duration
+	Between95 time.Duration
+	// SmallFirst95 is First95 of the requests that are not the large
+	// customer's.
+	SmallFirst95 time.Duration
+	Requests     int
+	// SmallRefused is the part of the requests that are not the large
+	// customer's and were refused.
+	SmallRefused float64
+	// CacheHits is the part of the prompts whose prefix was cached.
+	CacheHits float64
+
+	tokens              int64
+	good                int64
+	refused             int
+	small, smallRefused int
+	hits                int
+	prompts             int
+}
+
+// request is one request while it is served.
+type request struct {
+	chooser  *chooser
+	prompt   int
+	answer   int
+	prefix   uint64
+	priority int
+	large    bool
+	customer string
+	chain    []savoryengine.Hop
+	flight   *savorychain.Flight
+	arrived  time.Time
+	lastAt   time.Time
+	slowest  time.Duration
+	first    time.Duration
+	tokens   int
+}
+
+// Run runs the lab and returns what it measured.
+func (l *Lab) Run() Result {
+	l.build()
+	l.result = Result{Policy: l.Policy, Load: l.Load, Bound: l.bound()}
+	perRequest := float64(l.PromptTokens + l.AnswerTokens)
+	rate := l.Load * l.result.Bound / perRequest
+	l.begin = l.clock.now.Add(l.Warm)
+	l.end = l.begin.Add(l.Time)
+	l.arrive(rate)
+	l.clock.runUntil(l.end)
+	return l.summary()
+}
+
+// build makes engines, links and entries.
+func (l *Lab) build() {
+	l.rand = rand.New(rand.NewPCG(l.Seed, 2))
+	l.clock.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	doc := l.document()
+	l.snapshot = savoryconfig.NewSnapshot(&savoryconfig.Root{Revision: 1}, doc)
+	l.engines = make(map[string]*engine)
+	l.stages = make([][]*engine, stageCount)
+	for _, server := range doc.BackendServers {
+		e := &engine{
+			server: server, accelerator: l.snapshot.Accelerator(server.Accelerator),
+			clock: &l.clock, slow: 1, prefixes: prefixCache{room: l.PrefixRoom},
+		}
+		l.engines[server.Name] = e
+		stage := server.Layers.From / (modelLayers / stageCount)
+		l.stages[stage] = append(l.stages[stage], e)
+	}
+	for i := range l.Entries {
+		name := fmt.Sprintf("entry-%d", i)
+		zone := l.zones[i%len(l.zones)]
+		l.choosers = append(l.choosers, newChooser(l.Policy, name, zone, l.snapshot, l.stages, l.Seed*1000+uint64(i)))
+	}
+}
+
+// document describes the site.
+func (l *Lab) document() *savoryconfig.Document {
+	us := func(n int) savoryworld.Duration {
+		return savoryworld.Duration(n) * savoryworld.Duration(time.Microsecond)
+	}
+	l.zones = []string{"a", "b", "c"}
+	doc := &savoryconfig.Document{
+		Accelerators: []savoryworld.Accelerator{
+			{Name: "fast", StepBase: us(150), StepToken: us(8), MaxTokens: 64},
+			{Name: "middle", StepBase: us(250), StepToken: us(14), MaxTokens: 48},
+			{Name: "slow", StepBase: us(350), StepToken: us(24), MaxTokens: 32},
+		},
+		Links: []savoryworld.Link{
+			{From: "a", To: "b", Delay: us(500), BytesPerSecond: 1_250_000_000},
+			{From: "a", To: "c", Delay: us(500), BytesPerSecond: 125_000_000},
+			{From: "b", To: "c", Delay: us(500), BytesPerSecond: 12_500_000},
+		},
+		Pipelines: []savoryworld.Pipeline{{
+			Name: modelName, Model: modelName, Version: "v1", Layers: modelLayers, ActivationBytes: 16 << 10,
+			FirstToken: us(770_000), BetweenTokens: us(72_000), MaxTokens: 4096,
+		}},
+	}
+	for _, zone := range l.zones {
+		doc.Zones = append(doc.Zones, savoryworld.AvailabilityZone{Name: zone, Region: "r"})
+	}
+	width := modelLayers / stageCount
+	port := uint16(1)
+	for stage := range stageCount {
+		for i := range l.EnginesPerStage {
+			port++
+			doc.BackendServers = append(doc.BackendServers, savoryworld.BackendServer{
+				Name:    fmt.Sprintf("e%d-%d", stage, i),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port),
+				Zone:    l.zones[i%len(l.zones)], Model: modelName, Version: "v1",
+				Layers:      savoryworld.LayerRange{From: stage * width, To: (stage + 1) * width},
+				Accelerator: doc.Accelerators[(i/len(l.zones)+stage)%len(doc.Accelerators)].Name,
+			})
+		}
+	}
+	return doc
+}
+
+// bound returns the tokens per second that the hardware allows.
+func (l *Lab) bound() float64 {
+	lowest := math.Inf(1)
+	for _, stage := range l.stages {
+		sum := 0.0
+		for _, e := range stage {
+			sum += e.accelerator.TokensPerSecond(e.server.Layers.Count())
+		}
+		lowest = min(lowest, sum)
+	}
+	return lowest
+}
+
+// arrive lets requests arrive at a rate, at random entries.
+func (l *Lab) arrive(rate float64) {
+	gap := time.Duration(l.rand.ExpFloat64() / rate * float64(time.Second))
+	l.clock.after(gap, func() {
+		l.admit(l.newRequest())
+		l.arrive(rate)
+	})
+}
+
+func (l *Lab) newRequest() *request {
+	r := &request{
+		chooser: l.choosers[l.rand.IntN(len(l.choosers))],
+		prompt:  2 + int(l.rand.Float64()*2*float64(l.PromptTokens-2)),
+		answer:  1 + int(l.rand.Float64()*2*float64(l.AnswerTokens-1)),
+		arrived: l.clock.now, lastAt: l.clock.now, priority: 1,
+	}
+	if l.Prefixes > 0 {
+		r.prompt += l.PrefixTokens
+		r.prefix = 1 + uint64(l.rand.IntN(l.Prefixes))
+	}
+	r.customer = fmt.Sprintf("small-%d", l.rand.IntN(smallCustomers))
+	if l.rand.Float64() < l.Large {
+		r.large, r.customer = true, "large"
+	}
+	return r
+}
+
+// admit chooses a chain for a request, or counts it as refused.
+func (l *Lab) admit(r *request) {
+	if l.measured(r.arrived) {
+		l.result.Requests++
+		if !r.large {
+			l.result.small++
+		}
+	}
+	pipeline := l.snapshot.Pipeline(modelName)
+	choice, err := r.chooser.choose(savorychain.Request{
+		Pipeline: pipeline, PromptTokens: r.prompt, AnswerTokens: r.answer, Prefix: l.hint(r), PrefixTokens: l.PrefixTokens,
+		Patience: r.chooser.fairness.Patience(r.customer),
+	}, l.clock.now)
+	if err != nil {
+		if l.measured(r.arrived) {
+			l.result.refused++
+			if !r.large {
+				l.result.smallRefused++
+			}
+		}
+		return
+	}
+	r.chain = choice.Chain
+	if r.chooser.fairness.Patience(r.customer) < 1 {
+		r.priority = 0
+	}
+	r.chooser.fairness.Begin(r.customer, 1)
+	r.flight = r.chooser.sent(choice, r.prompt, l.clock.now)
+	for _, hop := range r.chain {
+		l.engines[hop.Server].sequences++
+	}
+	l.clock.after(l.delay(r, -1, 0), func() { l.stage(r, 0, r.prompt) })
+}
+
+// hint returns the prefix that the policy may see.
+func (l *Lab) hint(r *request) uint64 {
+	if l.NoHints {
+		return 0
+	}
+	return r.prefix
+}
+
+// stage runs tokens of a request at one stage of its chain.
+func (l *Lab) stage(r *request, position, tokens int) {
+	e := l.engines[r.chain[position].Server]
+	left := tokens
+	if tokens > 1 {
+		l.result.prompts++
+		if e.prefixes.use(r.prefix) {
+			l.result.hits++
+			left = max(1, tokens-l.PrefixTokens)
+		}
+	}
+	e.add(&work{left: left, priority: r.priority, done: func() {
+		next := position + 1
+		if next < len(r.chain) {
+			l.clock.after(l.delay(r, position, left), func() { l.stage(r, next, tokens) })
+			return
+		}
+		l.clock.after(l.delay(r, position, 0), func() { l.token(r) })
+	}})
+}
+
+// delay returns the time from a stage to the next; after the last stage, to the
+// first one. Position -1 is the entry.
+func (l *Lab) delay(r *request, position, tokens int) time.Duration {
+	next := r.chain[(position+1)%len(r.chain)]
+	to := l.engines[next.Server].server.Zone
+	from := l.zones[0]
+	if position >= 0 {
+		from = l.engines[r.chain[position].Server].server.Zone
+	}
+	link := l.snapshot.Link(from, to)
+	d := link.Delay.D()
+	if link.BytesPerSecond > 0 {
+		bytes := float64(l.snapshot.Pipeline(modelName).ActivationBytes) * float64(tokens)
+		d += time.Duration(bytes / float64(link.BytesPerSecond) * float64(time.Second))
+	}
+	return d
+}
+
+// token is called when a token is back at the first stage.
+func (l *Lab) token(r *request) {
+	now := l.clock.now
+	gap := now.Sub(r.lastAt)
+	r.lastAt = now
+	if r.tokens == 0 {
+		r.first = gap
+		r.chooser.promptDone(r.flight, l.hint(r), gap, l.snapshot.Pipeline(modelName).FirstToken.D())
+	} else {
+		r.slowest += gap
+		if l.measured(now) {
+			l.between = append(l.between, gap)
+		}
+	}
+	if r.tokens%reportEvery == 0 {
+		for _, hop := range r.chain {
+			r.chooser.report(l.engines[hop.Server].load(), now)
+		}
+	}
+	r.tokens++
+	if r.tokens == r.answer {
+		l.finish(r)
+		return
+	}
+	l.stage(r, 0, 1)
+}
+
+// finish counts a whole answer.
+func (l *Lab) finish(r *request) {
+	r.chooser.fairness.End(r.customer)
+	r.chooser.finished(r.flight)
+	for _, hop := range r.chain {
+		l.engines[hop.Server].sequences--
+	}
+	if l.measured(r.arrived) {
+		l.first = append(l.first, r.first)
+		if !r.large {
+			l.small = append(l.small, r.first)
+		}
+	}
+	if !l.measured(l.clock.now) {
+		return
+	}
+	tokens := int64(r.prompt + r.answer)
+	l.result.tokens += tokens
+	pipeline := l.snapshot.Pipeline(modelName)
+	mean := time.Duration(0)
+	if r.answer > 1 {
+		mean = r.slowest / time.Duration(r.answer-1)
+	}
+	if r.first <= pipeline.FirstToken.D() && mean <= pipeline.BetweenTokens.D() {
+		l.result.good += tokens
+	}
+}
+
+func (l *Lab) measured(at time.Time) bool { return !at.Before(l.begin) && at.Before(l.end) }
+
+func (l *Lab) summary() Result {
+	r := l.result
+	capacity := r.Bound * l.Time.Seconds()
+	r.Throughput = float64(r.tokens) / capacity
+	r.Goodput = float64(r.good) / capacity
+	if r.Requests > 0 {
+		r.Refused = float64(r.refused) / float64(r.Requests)
+	}
+	if r.small > 0 {
+		r.SmallRefused = float64(r.smallRefused) / float64(r.small)
+	}
+	if r.prompts > 0 {
+		r.CacheHits = float64(r.hits) / float64(r.prompts)
+	}
+	r.First95 = percentile(l.first, 0.95)
+	r.Between95 = percentile(l.between, 0.95)
+	r.SmallFirst95 = percentile(l.small, 0.95)
+	return r
+}
+
+func percentile(times []time.Duration, p float64) time.Duration {
+	if len(times) == 0 {
+		return 0
+	}
+	slices.Sort(times)
+	return times[min(len(times)-1, int(p*float64(len(times))))]
+}
+
+func stretch(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- /dev/null
+++ b/savorystand/savorylab/lab_test.go
@@ -0,0 +1,68 @@
+package savorylab
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The bounds come from the target: 95 in 100 first tokens within 0.77 s and 72
+// ms between tokens.
+const (
+	firstTokenBound    = 770 * time.Millisecond
+	betweenTokensBound = 72 * time.Millisecond
+)
+
+func newLab(seed uint64, policy Policy, load float64) *Lab {
+	return &Lab{
+		Seed: seed, Policy: policy, Load: load, Entries: 7, EnginesPerStage: 10,
+		Warm: 5 * time.Second, Time: 8 * time.Second, PromptTokens: 160, AnswerTokens: 80,
+	}
+}
+
+func TestEstimateBeatsBaselines(t *testing.T) {
+	for _, load := range []float64{0.5, 0.8, 0.95, 1.2} {
+		for _, seed := range []uint64{1, 2} {
+			t.Run(fmt.Sprintf("load %.2f seed %d", load, seed), func(t *testing.T) {
+				is := is.New(t)
+				own := newLab(seed, Estimate, load).Run()
+				is.True(own.First95 <= firstTokenBound)
+				is.True(own.Between95 <= betweenTokensBound)
+				for _, policy := range Policies()[1:] {
+					other := newLab(seed, policy, load).Run()
+					is.True(own.Goodput > other.Goodput)
+					is.True(own.Throughput > other.Throughput)
+				}
+			})
+		}
+	}
+}
+
+func TestOverloadDoesNotLowerGoodput(t *testing.T) {
+	is := is.New(t)
+	knee := newLab(1, Estimate, 0.95).Run()
+	over := newLab(1, Estimate, 1.2).Run()
+	is.True(over.Goodput >= knee.Goodput)
+	is.True(over.Refused > 0)
+}
+
+// A large customer that sends far more than the site bears must not raise the
+// first token of small customers above the bound, nor have them refused.
+func TestLargeCustomerDoesNotHarmSmall(t *testing.T) {
+	is := is.New(t)
+	lab := newLab(1, Estimate, 2)
+	lab.Large = 0.85
+	r := lab.Run()
+	is.True(r.SmallFirst95 <= firstTokenBound)
+	is.True(r.SmallRefused < 0.02)
+	is.True(r.Refused > 0.2)
+}
+
+func TestRunRepeatsBySeed(t *testing.T) {
+	is := is.New(t)
+	first := newLab(7, Estimate, 0.8).Run()
+	second := newLab(7, Estimate, 0.8).Run()
+	is.Equal(first, second)
+}
--- /dev/null
+++ b/savorystand/savorylab/policy.go
@@ -0,0 +1,127 @@
+package savorylab
+
+// This file defines the policies that are compared.
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorylimit"
+)
+
+// Policy names a way to choose chains.
+type Policy string
+
+// The policies.
+const (
+	// Estimate is the product's own policy.
+	Estimate Policy = "estimate"
+	// Random picks an engine of each stage at random.
+	Random Policy = "random"
+	// RoundRobin picks the engines of each stage in turn.
+	RoundRobin Policy = "round robin"
+	// Fewest picks the engine of each stage with the fewest requests of the
+	// same entry in flight.
+	Fewest Policy = "fewest outstanding"
+)
+
+// Policies returns all policies, the product's own first.
+func Policies() []Policy { return []Policy{Estimate, Random, RoundRobin, Fewest} }
+
+// chooser is the state of a policy at one entry.
+type chooser struct {
+	policy Policy
+	table  *savorychain.Table
+	stages [][]*engine
+	rand   *rand.Rand
+	turn   []int
+	own    map[string]int
+
+	fairness savorylimit.Fairness
+}
+
+func newChooser(policy Policy, name, zone string, snapshot *savoryconfig.Snapshot, stages [][]*engine, seed uint64) *chooser {
+	source := rand.New(rand.NewPCG(seed, 1))
+	c := &chooser{policy: policy, stages: stages, rand: source, turn: make([]int, len(stages)), own: make(map[string]int)}
+	for i := range c.turn {
+		c.turn[i] = source.IntN(len(stages[i]))
+	}
+	if policy == Estimate {
+		c.table = &savorychain.Table{
+			Entry: name, Zone: zone, Rand: source,
+			Sample: savorychain.DefaultSample, Subset: savorychain.DefaultSubset,
+		}
+		c.table.Load(snapshot)
+	}
+	return c
+}
+
+// choose returns a chain, or an error if the request is refused.
+func (c *chooser) choose(req savorychain.Request, now time.Time) (savorychain.Choice, error) {
+	if c.policy == Estimate {
+		return c.table.Choose(req, now)
+	}
+	var choice savorychain.Choice
+	for i, members := range c.stages {
+		server := c.pick(i, members).server
+		choice.Chain = append(choice.Chain, savoryengine.Hop{Server: server.Name, Address: server.Address, Layers: server.Layers})
+	}
+	return choice, nil
+}
+
+func (c *chooser) pick(stage int, members []*engine) *engine {
+	switch c.policy {
+	case RoundRobin:
+		c.turn[stage]++
+		return members[c.turn[stage]%len(members)]
+	case Fewest:
+		start := c.rand.IntN(len(members))
+		best := members[start]
+		for i := range members {
+			e := members[(start+i)%len(members)]
+			if c.own[e.server.Name] < c.own[best.server.Name] {
+				best = e
+			}
+		}
+		return best
+	default:
+		return members[c.rand.IntN(len(members))]
+	}
+}
+
+func (c *chooser) sent(choice savorychain.Choice, tokens int, now time.Time) *savorychain.Flight {
+	if c.table != nil {
+		return c.table.Sent(choice, tokens, now)
+	}
+	for _, hop := range choice.Chain {
+		c.own[hop.Server]++
+	}
+	return &savorychain.Flight{Chain: choice.Chain}
+}
+
+func (c *chooser) promptDone(f *savorychain.Flight, prefix uint64, took, bound time.Duration) {
+	if c.table != nil {
+		c.table.PromptDone(f)
+		c.table.Ran(prefix, f.Chain)
+		c.table.FirstToken(took, bound)
+	}
+}
+
+func (c *chooser) finished(f *savorychain.Flight) {
+	if c.table != nil {
+		c.table.Finished(f)
+		return
+	}
+	for _, hop := range f.Chain {
+		c.own[hop.Server]--
+	}
+}
+
+func (c *chooser) report(load savoryengine.Load, now time.Time) {
+	if c.table != nil {
+		c.table.Report(load, now)
+	}
+}
