--- a/savorycore/savoryclaim/attempt.go
+++ b/savorycore/savoryclaim/attempt.go
@@ -184,8 +184,12 @@
 		a.forwarded = true
 		return Action{Kind: Send}
 	}
-	return Action{Kind: Reply, Err: savoryverdict.Unavailable("StoreOut", outRetry,
-		"the store that holds idempotency keys does not answer; the request was not sent")}
+	// This entry sent nothing, but without the store it cannot know whether an
+	// earlier request with the key ran.
+	out := savoryverdict.Unavailable("StoreOut", outRetry,
+		"the store that holds idempotency keys does not answer; this request was not sent, an earlier one with the key may have run")
+	out.Verdict = savoryverdict.MayHaveRun
+	return Action{Kind: Reply, Err: out}
 }
 
 // judge answers a request whose key is held by another claim.
--- a/savorycore/savoryworld/world.go
+++ b/savorycore/savoryworld/world.go
@@ -107,7 +107,8 @@
 
 // The outage policies.
 const (
-	// OutageRefuse refuses the request with the verdict NotRun.
+	// OutageRefuse sends nothing. The verdict is MayHaveRun, since an earlier
+	// request with the key may have run.
 	OutageRefuse OutagePolicy = "Refuse"
 	// OutageForward sends the request on with its key. It is right only for a
 	// service that itself runs a key at most once.
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -150,9 +150,7 @@
 
 // Revision returns the revision of the configuration in force, or 0.
 func (n *Node) Revision() uint64 {
-	if n.keeper == nil {
-		return 0
-	}
+	n.init()
 	return n.keeper.revision()
 }
 
@@ -160,6 +158,7 @@
 	n.initOnce.Do(func() {
 		n.drainNow = make(chan struct{})
 		n.stopNow = make(chan struct{})
+		n.keeper = new(configKeeper)
 	})
 }
 
@@ -232,9 +231,8 @@
 	n.pool = newWorkerPool()
 	store := &savorystore.Store{Address: s.Platform.Store, Timeout: s.Platform.StoreTimeout.D(), Called: n.metrics.storeCalled}
 	n.tables = n.buildTables()
-	n.keeper = &configKeeper{log: n.Log, now: n.Now, metrics: n.metrics, inForce: func(snapshot *savoryconfig.Snapshot) {
-		n.tables.loadSnapshot(snapshot, n.Now())
-	}}
+	n.keeper.log, n.keeper.now, n.keeper.metrics = n.Log, n.Now, n.metrics
+	n.keeper.inForce = func(snapshot *savoryconfig.Snapshot) { n.tables.loadSnapshot(snapshot, n.Now()) }
 	config := &configStore{store: store, now: n.Now}
 	n.spread = n.buildSpreader(store, config)
 	n.writer = newGroupWriter(store)
@@ -247,7 +245,7 @@
 	n.orderer = &orderer{
 		settings: s.Orders, region: s.Region, name: s.Peers.Address.String(), store: store,
 		engines: &savoryengine.Client{Transport: transport(false), CallTimeout: engineTimeout},
-		keeper:  n.keeper, log: n.Log, now: n.Now, metrics: n.metrics,
+		keeper:  n.keeper, log: n.Log, now: n.Now, metrics: n.metrics, leaving: n.spread.serverLeaves,
 	}
 	n.peers = &savorypeer.Server{Exchange: n.spread.handleExchange, Offer: n.spread.handleOffer, Fetch: n.spread.handleFetch}
 	if n.loaders.peers != nil {
--- a/savoryentry/savorynode/orders.go
+++ b/savoryentry/savorynode/orders.go
@@ -40,6 +40,8 @@
 	log      log.Interface
 	now      func() time.Time
 	metrics  *metrics
+	// leaving is told of each engine that says it is leaving.
+	leaving func(server string)
 
 	tenure  savoryorder.Tenure
 	planner savoryorder.Planner
@@ -151,8 +153,13 @@
 		}()
 	}
 	for range asked {
-		if a := <-answers; a.err == nil {
-			o.planner.Observe(a.server, a.status, o.now())
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		o.planner.Observe(a.server, a.status, o.now())
+		if a.status.Leaving {
+			o.leaving(a.server)
 		}
 	}
 }
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -16,7 +16,6 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryengine"
-	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savorystream"
 	"savorycart.example/savorycore/savoryverdict"
 )
@@ -328,8 +327,7 @@
 		"chain": savorychain.Servers(choice.Chain), "server": server, "emitted": len(g.sequence.Emitted()),
 	}).Warn("attempt failed")
 	if fault != nil && fault.Leaving {
-		mark := savorymember.Mark{Server: server, Source: savorymember.FromServer, Leaving: true, At: now}
-		p.pool.submit(func() { p.spread.announceMarks(context.Background(), []savorymember.Mark{mark}) })
+		p.spread.serverLeaves(server)
 	}
 	if server != "" {
 		g.avoid = appendMissing(g.avoid, server)
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -219,6 +219,16 @@
 	}
 }
 
+// serverLeaves spreads that a backend server itself says that it is leaving.
+func (s *spreader) serverLeaves(server string) {
+	mark := savorymember.Mark{Server: server, Source: savorymember.FromServer, Leaving: true, At: s.now()}
+	due := false
+	s.tables.members.with(func(m *memberState) { due = m.marks.Due(mark) })
+	if due {
+		s.pool.submit(func() { s.announceMarks(context.Background(), []savorymember.Mark{mark}) })
+	}
+}
+
 func (s *spreader) logMarks(marks []savorymember.Mark) {
 	for _, m := range marks {
 		s.log.WithFields(log.Fields{"server": m.Server, "leaving": m.Leaving, "from": m.Source}).Info("backend server marked")
--- a/savorystand/demo.go
+++ b/savorystand/demo.go
@@ -110,32 +110,27 @@
 }
 
 // generate asks for a briefing and checks each word of it.
-func (d *demo) generate(i int) (savorysite.Generated, error) {
+func (d *demo) generate(i int) error {
 	prompt := fmt.Sprintf("%s %d", demoPrompt, i)
 	g, err := d.caller(i).Generate(d.ctx, savorysite.ModelName, prompt, demoTokens)
 	if err != nil {
-		return g, err
+		return err
 	}
 	if !g.Whole {
-		return g, fmt.Errorf("the answer is not whole: %s", g.Problem)
+		return fmt.Errorf("the answer is not whole: %s", g.Problem)
 	}
 	want := savorymodel.Expect(savorysite.ModelName, savorysite.ModelVersion, prompt, savorysite.Layers, demoTokens)
 	if !slices.Equal(g.Text, want) {
-		return g, errors.New("the answer is wrong")
+		return errors.New("the answer is wrong")
 	}
-	return g, nil
+	return nil
 }
 
 func (d *demo) briefings() (string, error) {
 	results := make(chan error, demoCallers)
-	var slowest time.Duration
 	for i := range demoCallers {
 		go func() {
-			g, err := d.generate(i)
-			if err == nil {
-				slowest = max(slowest, g.First)
-			}
-			results <- err
+			results <- d.generate(i)
 		}()
 	}
 	for range demoCallers {
@@ -151,8 +146,7 @@
 	done := make(chan error, demoCallers)
 	for i := range demoCallers {
 		go func() {
-			_, err := d.generate(100 + i)
-			done <- err
+			done <- d.generate(100 + i)
 		}()
 	}
 	time.Sleep(30 * time.Millisecond)
@@ -221,8 +215,7 @@
 	done := make(chan error, demoCallers)
 	for range demoCallers {
 		go func() {
-			_, err := d.generate(last)
-			done <- err
+			done <- d.generate(last)
 		}()
 	}
 	time.Sleep(20 * time.Millisecond)
--- a/savorystand/savorymodel/engine.go
+++ b/savorystand/savorymodel/engine.go
@@ -293,6 +293,8 @@
 		if err := json.NewDecoder(resp.Body).Decode(fault); err != nil {
 			return nil, failed(err)
 		}
+		// This stage has run, whatever the next one says of itself.
+		fault.Verdict = savoryverdict.MayHaveRun
 		return nil, fault
 	}
 	done := new(savoryengine.Step)
@@ -311,6 +313,10 @@
 		http.Error(w, "Position is not in the chain", http.StatusBadRequest)
 		return
 	}
+	if fault := e.refuseStep(step); fault != nil {
+		writeFault(w, fault)
+		return
+	}
 	done, fault := e.step(r.Context(), step)
 	if e.currentFaults().Die {
 		panic(http.ErrAbortHandler)
@@ -397,6 +403,19 @@
 	return nil
 }
 
+// refuseStep returns the fault for a step of a request that a leaving engine
+// does not know.
+func (e *Engine) refuseStep(step *savoryengine.Step) *savoryengine.FaultError {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.cached[step.Request]; known || !e.leaving {
+		return nil
+	}
+	fault := e.fault(savoryverdict.NotRun, "the engine is leaving")
+	fault.Leaving = true
+	return fault
+}
+
 func (e *Engine) checkHolds(model, version string, layers savoryworld.LayerRange) *savoryengine.FaultError {
 	e.mu.Lock()
 	defer e.mu.Unlock()
