--- a/savorycore/savoryadmin/message.go
+++ b/savorycore/savoryadmin/message.go
@@ -32,8 +32,8 @@
 	// NotReady says why the entry is not ready.
 	NotReady string `json:",omitempty"`
 	Draining bool
-	// Relay says that the entry watches the store for its zone.
-	Relay    bool
+	// Watcher says that the entry watches the store for its zone.
+	Watcher  bool
 	InFlight int
 	Peers    []PeerStatus
 	Servers  []savorychain.ServerStatus
--- a/savorycore/savoryclaim/record.go
+++ b/savorycore/savoryclaim/record.go
@@ -21,7 +21,7 @@
 	"net/http"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"savorycart.example/savorycore/savorywire"
 )
 
 const (
@@ -104,7 +104,7 @@
 
 // Encode writes the record for the store.
 func (r *Record) Encode() ([]byte, error) {
-	body, err := msgpack.Marshal(r)
+	body, err := savorywire.Encode(r)
 	if err != nil {
 		return nil, fmt.Errorf("claim record: %w", err)
 	}
@@ -114,7 +114,7 @@
 // DecodeRecord reads a record and checks it.
 func DecodeRecord(body []byte) (*Record, error) {
 	r := new(Record)
-	if err := msgpack.Unmarshal(body, r); err != nil {
+	if err := savorywire.Decode(body, r); err != nil {
 		return nil, fmt.Errorf("claim record: %w", err)
 	}
 	if r.State != Claimed && r.State != Done {
--- a/savorycore/savoryconfig/bucket.go
+++ b/savorycore/savoryconfig/bucket.go
@@ -3,7 +3,6 @@
 // This file defines how a section is divided into buckets.
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
@@ -11,12 +10,15 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"savorycart.example/savorycore/savorywire"
 )
 
 const (
 	// recordsPerBucket is the mean number of records of a bucket, at most.
-	recordsPerBucket = 32
+	recordsPerBucket = 8
+	// maxBuckets bounds the buckets of one section.
+	maxBuckets = 1 << 16
 	// digestBytes is the length of a content digest, cut from SHA-256.
 	digestBytes = 16
 	// suffixBytes is the length of the part of a BucketID that names the
@@ -79,7 +81,7 @@
 	}
 	buckets := make([]Bucket, 0, len(parts))
 	for i := range parts {
-		body, err := encode(&parts[i])
+		body, err := savorywire.Encode(&parts[i])
 		if err != nil {
 			return nil, fmt.Errorf("section %s: %w", s, err)
 		}
@@ -123,24 +125,12 @@
 		return nil, err
 	}
 	doc := new(Document)
-	if err := msgpack.Unmarshal(b.Body, doc); err != nil {
+	if err := savorywire.Decode(b.Body, doc); err != nil {
 		return nil, fmt.Errorf("bucket %s: %w", b.ID, err)
 	}
 	return doc, nil
 }
 
-// encode writes v so that equal values give equal bytes.
-func encode(v any) ([]byte, error) {
-	var buf bytes.Buffer
-	enc := msgpack.NewEncoder(&buf)
-	enc.SetSortMapKeys(true)
-	enc.UseCompactInts(true)
-	if err := enc.Encode(v); err != nil {
-		return nil, fmt.Errorf("encode: %w", err)
-	}
-	return buf.Bytes(), nil
-}
-
 // records returns the records of section s.
 func (d *Document) records(s Section) []record {
 	switch s {
--- a/savorycore/savoryconfig/root.go
+++ b/savorycore/savoryconfig/root.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"savorycart.example/savorycore/savorywire"
 )
 
 // submissionsKept is the number of accepted submissions that a root remembers,
@@ -69,12 +69,12 @@
 }
 
 // EncodeRoot writes r for the store and for peers.
-func EncodeRoot(r *Root) ([]byte, error) { return encode(r) }
+func EncodeRoot(r *Root) ([]byte, error) { return savorywire.Encode(r) }
 
 // DecodeRoot reads a root.
 func DecodeRoot(body []byte) (*Root, error) {
 	r := new(Root)
-	if err := msgpack.Unmarshal(body, r); err != nil {
+	if err := savorywire.Decode(body, r); err != nil {
 		return nil, fmt.Errorf("root: %w", err)
 	}
 	for _, ref := range r.Sections {
@@ -152,11 +152,7 @@
 		replaced = append(replaced, old.Buckets...)
 		next.setSection(part)
 	}
-	next.Submissions = append(next.Submissions, Submission{ID: change.Submission, Revision: next.Revision})
-	next.Submissions = append(next.Submissions, r.Submissions...)
-	if len(next.Submissions) > submissionsKept {
-		next.Submissions = next.Submissions[:submissionsKept]
-	}
+	next.Submissions = rememberSubmission(r, change.Submission)
 	next.Retired = retire(r, next, replaced, now)
 	return next, nil
 }
@@ -166,11 +162,24 @@
 	for _, b := range part.Buckets {
 		ref.Buckets = append(ref.Buckets, b.ID)
 	}
+	r.replaceSection(ref)
+}
+
+func (r *Root) replaceSection(ref SectionRef) {
 	for i := range r.Sections {
-		if r.Sections[i].Section == part.Section {
+		if r.Sections[i].Section == ref.Section {
 			r.Sections[i] = ref
+			return
 		}
 	}
+	r.Sections = append(r.Sections, ref)
+}
+
+// rememberSubmission returns the submissions of the root that follows base.
+func rememberSubmission(base *Root, id string) []Submission {
+	kept := []Submission{{ID: id, Revision: base.Revision + 1}}
+	kept = append(kept, base.Submissions...)
+	return kept[:min(len(kept), submissionsKept)]
 }
 
 // retire returns the replaced buckets that next does not name, and those
--- /dev/null
+++ b/savorycore/savoryconfig/root_test.go
@@ -0,0 +1,259 @@
+package savoryconfig
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// smallDocument returns a document that passes its checks, with n customers.
+func smallDocument(n int) *Document {
+	digest := func(i int) string { return fmt.Sprintf("%064x", i) }
+	doc := &Document{
+		Teams:        []savoryworld.Team{{Name: "all", TokenSHA256: digest(1)}},
+		Zones:        []savoryworld.AvailabilityZone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Links:        []savoryworld.Link{{From: "a", To: "b", Delay: savoryworld.Duration(time.Millisecond), BytesPerSecond: 1 << 20}},
+		Accelerators: []savoryworld.Accelerator{{Name: "x", StepBase: 1, StepToken: 1, MaxTokens: 8}},
+		Pipelines:    []savoryworld.Pipeline{{Name: "p", Model: "m", Version: "v", Layers: 4, FirstToken: 1, BetweenTokens: 1, MaxTokens: 9}},
+		Routes:       []savoryworld.Route{{Name: "callouts", Path: "/callouts", Service: "dispatch"}},
+	}
+	for _, s := range Sections() {
+		doc.Teams[0].Sections = append(doc.Teams[0].Sections, string(s))
+	}
+	server := func(port uint16, s savoryworld.BackendServer) {
+		s.Name = fmt.Sprintf("s%d", port)
+		s.Zone = "a"
+		s.Address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		doc.BackendServers = append(doc.BackendServers, s)
+	}
+	server(1, savoryworld.BackendServer{Model: "m", Version: "v", Accelerator: "x", Layers: savoryworld.LayerRange{To: 2}})
+	server(2, savoryworld.BackendServer{Model: "m", Version: "v", Accelerator: "x", Layers: savoryworld.LayerRange{From: 2, To: 4}})
+	server(3, savoryworld.BackendServer{Service: "dispatch"})
+	for i := range n {
+		doc.Customers = append(doc.Customers, savoryworld.Customer{
+			Name: fmt.Sprintf("customer-%04d", i), KeySHA256: []string{digest(100 + i)}, HomeRegion: "r",
+		})
+	}
+	return doc
+}
+
+// shelf holds buckets as the store does.
+type shelf map[BucketID]Bucket
+
+func (s shelf) find(id BucketID) (Bucket, bool) {
+	b, ok := s[id]
+	return b, ok
+}
+
+// put splits a section of doc and returns the part of a change.
+func (s shelf) put(t *rapid.T, root *Root, doc *Document, section Section, submission string) Part {
+	ref := root.Section(section)
+	buckets, err := SplitSection(doc, section, ref.Buckets, submission)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range buckets {
+		s[b.ID] = b
+	}
+	return Part{Section: section, Read: ref.Revision, Buckets: buckets}
+}
+
+// A sequence of changes keeps the revisions growing, refuses changes that were
+// made against another revision of their section, and each root, whether
+// applied or built from its delta, assembles to the document that was
+// submitted.
+func TestChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := make(shelf)
+		now := time.Unix(1000, 0).UTC()
+		doc := smallDocument(rapid.IntRange(0, 40).Draw(t, "customers"))
+		root := &Root{}
+		first := Change{Submission: "first"}
+		for _, s := range Sections() {
+			first.Parts = append(first.Parts, store.put(t, root, doc, s, "first"))
+		}
+		root, err := root.Apply(first, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		steps := rapid.IntRange(1, 12).Draw(t, "steps")
+		for i := range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "minutes")) * time.Minute)
+			n := rapid.IntRange(0, 60).Draw(t, "n")
+			changed := *doc
+			changed.Customers = smallDocument(n).Customers
+			part := store.put(t, root, &changed, Customers, fmt.Sprint("s", i))
+			stale := rapid.Bool().Draw(t, "stale")
+			if stale {
+				part.Read--
+			}
+			next, err := root.Apply(Change{Submission: fmt.Sprint("s", i), Parts: []Part{part}}, now)
+			var conflict *ConflictError
+			if stale != errors.As(err, &conflict) {
+				t.Fatalf("stale=%t, error %v", stale, err)
+			}
+			if stale {
+				continue
+			}
+			checkNext(t, store, root, next, &changed)
+			for _, id := range root.Deletable(now) {
+				delete(store, id)
+			}
+			root, doc = next, &changed
+		}
+	})
+}
+
+func checkNext(t *rapid.T, store shelf, root, next *Root, want *Document) {
+	if next.Revision != root.Revision+1 {
+		t.Fatalf("revision %d after %d", next.Revision, root.Revision)
+	}
+	delta, ok := DeltaBetween(root, next)
+	if !ok {
+		t.Fatal("no delta between a root and the next")
+	}
+	built, err := delta.ApplyTo(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*Root{next, built} {
+		body, err := EncodeRoot(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := DecodeRoot(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshot, err := Assemble(decoded, store.find)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := snapshot.Document.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := want.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got) != string(text) {
+			t.Fatalf("assembled:\n%s\nsubmitted:\n%s", got, text)
+		}
+	}
+}
+
+// A change of one record writes one bucket.
+func TestChangeOfOneRecordWritesOneBucket(t *testing.T) {
+	is := is.New(t)
+	doc := smallDocument(3200)
+	old, err := SplitSection(doc, Customers, nil, "one")
+	is.NoErr(err)
+	var ids []BucketID
+	for _, b := range old {
+		ids = append(ids, b.ID)
+	}
+	doc.Customers[77].Contract.Concurrency = 5
+	changed, err := SplitSection(doc, Customers, ids, "two")
+	is.NoErr(err)
+	fresh := 0
+	for _, b := range changed {
+		if !slices.Contains(ids, b.ID) {
+			fresh++
+		}
+	}
+	is.Equal(fresh, 1)
+}
+
+// A bucket that one submission retired has another ID when a later one writes
+// the same content again, so that deleting the first cannot hurt the second.
+func TestSameContentOfTwoSubmissionsHasTwoIDs(t *testing.T) {
+	is := is.New(t)
+	doc := smallDocument(3)
+	first, err := SplitSection(doc, Customers, nil, "one")
+	is.NoErr(err)
+	second, err := SplitSection(doc, Customers, nil, "two")
+	is.NoErr(err)
+	is.True(first[0].ID != second[0].ID)
+	is.Equal(first[0].Body, second[0].Body)
+}
+
+func TestRouteMatchesWholeSegments(t *testing.T) {
+	is := is.New(t)
+	s := NewSnapshot(&Root{}, &Document{Routes: []savoryworld.Route{
+		{Name: "callouts", Path: "/callouts"}, {Name: "urgent", Path: "/callouts/urgent"},
+	}})
+	is.Equal(s.Route("/callouts/7").Name, "callouts")
+	is.Equal(s.Route("/callouts/urgent/7").Name, "urgent")
+	is.True(s.Route("/callouts-old") == nil)
+	is.True(s.Route("/") == nil)
+}
+
+func FuzzParse(f *testing.F) {
+	text, err := smallDocument(2).Text()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(string(text))
+	f.Add("[[Customers]]\nName = 3\n")
+	f.Add("[[Routes]]\nPath = \"/x\"\nTimeout = \"-1s\"\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		doc, err := Parse("fuzz", []byte(text))
+		if err != nil {
+			if !strings.Contains(err.Error(), "fuzz") {
+				t.Fatalf("error does not name the file: %v", err)
+			}
+			return
+		}
+		if doc.Check() != nil {
+			return
+		}
+		// What passes its checks can be put in force.
+		root := &Root{}
+		store := make(shelf)
+		change := Change{Submission: "fuzz"}
+		for _, s := range Sections() {
+			buckets, err := SplitSection(doc, s, nil, "fuzz")
+			if err != nil {
+				return
+			}
+			for _, b := range buckets {
+				store[b.ID] = b
+			}
+			change.Parts = append(change.Parts, Part{Section: s, Buckets: buckets})
+		}
+		next, err := root.Apply(change, time.Unix(0, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Assemble(next, store.find); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzDecodeRoot(f *testing.F) {
+	body, err := EncodeRoot(&Root{Revision: 3, Sections: []SectionRef{{Section: Customers, Buckets: []BucketID{{1}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		root, err := DecodeRoot(body)
+		if err != nil {
+			return
+		}
+		if _, err := Assemble(root, func(BucketID) (Bucket, bool) { return Bucket{}, false }); err == nil && len(root.BucketIDs()) > 0 {
+			t.Fatal("assembled from missing buckets")
+		}
+	})
+}
--- /dev/null
+++ b/savorycore/savoryengine/fuzz_test.go
@@ -0,0 +1,52 @@
+package savoryengine
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// An answer of an engine ends with a last token or is a fault; it never ends
+// quietly.
+func FuzzReadEvents(f *testing.F) {
+	var whole bytes.Buffer
+	token := &Token{Request: "r", Attempt: 1, Text: " word", Finish: "length"}
+	if err := EncodeEvent(&whole, Event{Token: token}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole.String())
+	f.Add("data: {\"Token\":{\"Request\":\"r\",\"Index\":-1}}\n\n")
+	f.Add("data: {\"Fault\":{\"Verdict\":\"Maybe\"}}\n\n")
+	f.Add(": keepalive\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		finished := false
+		err := readEvents(strings.NewReader(text), "e", func(e Event) bool {
+			if e.Check() != nil {
+				t.Fatal("handed on an event that fails its check")
+			}
+			finished = e.Token.Finish != ""
+			return true
+		})
+		if (err == nil) != finished {
+			t.Fatalf("finished=%t, error %v", finished, err)
+		}
+		var fault *FaultError
+		if err != nil && (!errors.As(err, &fault) || !fault.Verdict.Valid()) {
+			t.Fatalf("error without a verdict: %v", err)
+		}
+	})
+}
+
+// An event that is too long is a fault, not memory without bound.
+func TestEndlessEventIsRefused(t *testing.T) {
+	is := is.New(t)
+	err := readEvents(strings.NewReader("data: "+strings.Repeat("x", 10*maxEventBytes)), "e", func(Event) bool { return true })
+	var fault *FaultError
+	is.True(errors.As(err, &fault))
+	is.Equal(fault.Verdict, savoryverdict.MayHaveRun)
+}
--- a/savorycore/savorylimit/limiter.go
+++ b/savorycore/savorylimit/limiter.go
@@ -34,6 +34,9 @@
 	// reservePart is the part of a contract that is divided evenly between all
 	// entries whatever the demand, so that a first request finds a share.
 	reservePart = 0.1
+	// eagerShares is the number of even shares up to which demand counts before
+	// the others have heard of it.
+	eagerShares = 2
 	// minRetry bounds the Retry-After of a refusal from below.
 	minRetry = 100 * time.Millisecond
 	// concurrencyRetry is the Retry-After when too many requests are in flight.
@@ -184,14 +187,21 @@
 	n := float64(max(len(l.entries), 1))
 	u := l.usage(customer)
 	u.settle(now)
-	total := u.announced
+	others := 0.0
 	for _, heard := range l.demands {
-		total += heard[customer]
+		others += heard[customer]
 	}
-	if total <= 0 {
+	if others+u.announced <= 0 {
 		return 1 / n
 	}
-	return reservePart/n + (1-reservePart)*u.announced/total
+	settled := reservePart/n + (1-reservePart)*u.announced/(others+u.announced)
+	rising := u.rate(now)
+	if rising <= u.announced {
+		return settled
+	}
+	// Demand that the others have not heard of counts up to twice an even
+	// share, so that all entries together stay below two contracts meanwhile.
+	return max(settled, min(eagerShares/n, rising/(others+rising)))
 }
 
 func (l *Limiter) usage(customer string) *usage {
--- /dev/null
+++ b/savorycore/savorylimit/limiter_test.go
@@ -0,0 +1,229 @@
+package savorylimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// lab runs several limiters in virtual time: requests arrive at entries, and
+// announcements travel with a delay unless the entries are cut apart.
+type lab struct {
+	limiters []*Limiter
+	now      time.Time
+	delay    time.Duration
+	// side gives the side of each entry; announcements do not cross sides.
+	side []int
+	mail []announcement
+}
+
+type announcement struct {
+	at      time.Time
+	from    int
+	demands []Demand
+}
+
+const (
+	labStep  = 5 * time.Millisecond
+	labRate  = 100
+	announce = time.Second
+)
+
+var contract = &savoryworld.Customer{Name: "c", Contract: savoryworld.Contract{RequestsPerSecond: labRate}}
+
+func newLab(n int) *lab {
+	l := &lab{now: time.Unix(1000, 0), delay: 200 * time.Millisecond, side: make([]int, n)}
+	for i := range n {
+		l.limiters = append(l.limiters, &Limiter{Entry: fmt.Sprint("e", i)})
+	}
+	l.list()
+	return l
+}
+
+func (l *lab) list() {
+	var names []string
+	for _, limiter := range l.limiters {
+		names = append(names, limiter.Entry)
+	}
+	for _, limiter := range l.limiters {
+		limiter.SetEntries(names)
+	}
+}
+
+// run offers rate(entry) requests per second for a time and returns how many
+// were admitted.
+func (l *lab) run(d time.Duration, rate func(entry int) float64) int {
+	admitted := 0
+	due := make([]float64, len(l.limiters))
+	end := l.now.Add(d)
+	for l.now.Before(end) {
+		l.now = l.now.Add(labStep)
+		l.spread()
+		for i, limiter := range l.limiters {
+			due[i] += rate(i) * labStep.Seconds()
+			for ; due[i] >= 1; due[i]-- {
+				if limiter.Admit(contract, 0, l.now) == nil {
+					admitted++
+					limiter.Done(contract.Name, 0)
+				}
+			}
+		}
+	}
+	return admitted
+}
+
+// spread sends and delivers announcements.
+func (l *lab) spread() {
+	if l.now.UnixNano()%int64(announce) == 0 {
+		for i, limiter := range l.limiters {
+			l.mail = append(l.mail, announcement{at: l.now.Add(l.delay), from: i, demands: limiter.Announce(l.now)})
+		}
+	}
+	for len(l.mail) > 0 && !l.mail[0].at.After(l.now) {
+		m := l.mail[0]
+		l.mail = l.mail[1:]
+		for i, limiter := range l.limiters {
+			if i != m.from && l.side[i] == l.side[m.from] {
+				limiter.Heard(l.limiters[m.from].Entry, m.demands)
+			}
+		}
+	}
+}
+
+// The bounds are those that docs/DESIGN.md states: in steady state at most the
+// contract and at least nine tenths of it where the demand is there; while
+// demand moves, entries are cut apart or a new one knows nothing, never more
+// than one contract and a half over ten seconds, and at least six tenths where
+// the demand has moved.
+func TestContractOverEntries(t *testing.T) {
+	const entries, window = 7, 10 * time.Second
+	full := labRate * window.Seconds()
+	even := func(int) float64 { return 3 * labRate / entries }
+	one := func(i int) float64 {
+		if i == 0 {
+			return 3 * labRate
+		}
+		return 0
+	}
+	other := func(i int) float64 {
+		if i == 1 {
+			return 3 * labRate
+		}
+		return 0
+	}
+	t.Run("even", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, even)
+		got := float64(l.run(window, even))
+		is.True(got <= 1.02*full)
+		is.True(got >= 0.9*full)
+	})
+	t.Run("all on one entry", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, one)
+		got := float64(l.run(window, one))
+		is.True(got <= 1.02*full)
+		is.True(got >= 0.9*full)
+	})
+	t.Run("moving", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, one)
+		got := float64(l.run(window, other))
+		is.True(got <= 1.5*full)
+		is.True(got >= 0.6*full)
+	})
+	t.Run("from nothing", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		got := float64(l.run(window, even))
+		is.True(got <= 1.5*full)
+	})
+	t.Run("cut apart", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, even)
+		for i := range 3 {
+			l.side[i] = 1
+		}
+		got := float64(l.run(window, even))
+		is.True(got <= 1.5*full)
+		is.True(got >= 0.9*full)
+	})
+	t.Run("an entry fails", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, even)
+		l.limiters = l.limiters[1:]
+		l.side = l.side[1:]
+		l.mail = nil
+		l.list()
+		l.run(window, even)
+		got := float64(l.run(window, func(int) float64 { return 3 * labRate / (entries - 1) }))
+		is.True(got <= 1.02*full)
+		is.True(got >= 0.9*full)
+	})
+	t.Run("a new entry knows nothing", func(t *testing.T) {
+		is := is.New(t)
+		l := newLab(entries)
+		l.run(window, even)
+		l.limiters = append(l.limiters, &Limiter{Entry: "new"})
+		l.side = append(l.side, 0)
+		l.limiters[entries].SetEntries([]string{"new"})
+		got := float64(l.run(window, even))
+		is.True(got <= 1.5*full)
+	})
+}
+
+func TestConcurrencyIsBounded(t *testing.T) {
+	is := is.New(t)
+	l := &Limiter{Entry: "e"}
+	c := &savoryworld.Customer{Name: "c", Contract: savoryworld.Contract{Concurrency: 2}}
+	now := time.Unix(1, 0)
+	is.NoErr(l.Admit(c, 0, now))
+	is.NoErr(l.Admit(c, 0, now))
+	is.True(l.Admit(c, 0, now) != nil)
+	l.Done("c", 0)
+	is.NoErr(l.Admit(c, 0, now))
+}
+
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	var b RetryBudget
+	now := time.Unix(1, 0)
+	retries := 0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Request(now)
+		if b.Retry(now) {
+			retries++
+		}
+	}
+	// A tenth of the requests, two a second and what was saved at the start.
+	is.True(retries <= 10_000/10+20+maxRetries)
+	is.True(retries >= 1000)
+}
+
+func TestFairness(t *testing.T) {
+	is := is.New(t)
+	var f Fairness
+	is.Equal(f.Patience("a"), 1.0)
+	for range 10 {
+		f.Begin("large", 1)
+	}
+	is.Equal(f.Patience("large"), 1.0) // alone, it has all
+	f.Begin("small", 1)
+	is.Equal(f.Patience("small"), 1.0)
+	is.True(f.Patience("large") < 1)
+	for range 10 {
+		f.End("large")
+	}
+	f.End("small")
+	is.Equal(f.Patience("large"), 1.0)
+}
--- a/savorycore/savorymember/table.go
+++ b/savorycore/savorymember/table.go
@@ -3,9 +3,12 @@
 //
 // A Table merges the platform's lagging list of VMs with heartbeats. Views of
 // different entries differ at any time and nothing is agreed: each rule that
-// uses a view must be safe when views differ. A few entries of each
-// availability zone are relays, chosen by rendezvous hashing over the live
-// view; they watch the store and pass changes on within their zone.
+// uses a view must be safe when views differ. A small fleet exchanges
+// heartbeats all with all. In a large one each entry exchanges one with a
+// random entry at a time, mostly of its own zone, and news travel as an
+// epidemic: who hears something new hands it to a few random entries, and
+// heartbeats close what is left open. A few entries of each availability zone
+// are watchers of the store, chosen by rendezvous hashing.
 //
 // The package decides only: it does no I/O, reads no clock, and takes its
 // random numbers from a generator that it is given. Its types are not safe for
@@ -23,18 +26,27 @@
 )
 
 const (
-	// RelaysPerZone is the number of relays of an availability zone.
-	RelaysPerZone = 2
-	// SilentAfter is the time without an answered heartbeat after which a peer
-	// counts as dead.
-	SilentAfter = 4 * time.Second
-	// FullMesh is the most peers that an entry exchanges heartbeats with
-	// directly; in a larger fleet it talks to relays and a few random peers.
+	// WatchersPerZone is the number of entries of an availability zone that
+	// watch the store.
+	WatchersPerZone = 2
+	// FullMesh is the most peers with which an entry exchanges heartbeats with
+	// all of them.
 	FullMesh = 8
-	// relayKey is the rendezvous key of the choice of relays.
-	relayKey = "relay"
-	// farChance is the part of random exchanges that leave the own zone.
-	farChance = 0.25
+	// missedFor is how long a peer that did not answer is left out.
+	missedFor = 10 * time.Second
+	// unlistedFor is how long a peer that answered stays known without being on
+	// the platform's list, which lags.
+	unlistedFor = 30 * time.Second
+	// watchersKey is the rendezvous key of the choice of watchers.
+	watchersKey = "watchers"
+	// nearFanout is the number of entries of the own zone that news are handed
+	// to, and farFanout the number of entries of each other zone at the origin.
+	nearFanout = 3
+	farFanout  = 2
+	// farHeartbeat is the part of heartbeats that leave the own zone.
+	farHeartbeat = 0.25
+	// farNews is the part of receivers that hand news to another zone too.
+	farNews = 0.1
 )
 
 // Peer is another entry.
@@ -54,44 +66,37 @@
 	Rand *rand.Rand
 
 	peers map[netip.AddrPort]*peerState
+	// order lists the peers by address, so that decisions repeat by seed.
+	order []*peerState
 }
 
 type peerState struct {
 	peer Peer
 	// listed says that the platform's list has the peer as live.
-	listed bool
-	// tried says that a heartbeat was sent since the peer was first known.
-	tried    bool
+	listed   bool
 	heardAt  time.Time
+	missedAt time.Time
 	draining bool
 }
 
-// List takes the platform's list. Peers that are not on it are forgotten once
-// they are silent; those that answer stay, because the list lags.
+// List takes the platform's list.
 func (t *Table) List(vms []savoryworld.VM, now time.Time) {
-	if t.peers == nil {
-		t.peers = make(map[netip.AddrPort]*peerState)
-	}
 	listed := make(map[netip.AddrPort]bool)
 	for _, vm := range vms {
 		if !vm.Entry || vm.Address == t.Self.Address {
 			continue
 		}
 		listed[vm.Address] = true
-		s := t.peers[vm.Address]
-		if s == nil {
-			s = new(peerState)
-			t.peers[vm.Address] = s
-		}
-		s.peer = Peer{Address: vm.Address, Zone: vm.Zone, Region: vm.Region}
+		s := t.state(Peer{Address: vm.Address, Zone: vm.Zone, Region: vm.Region})
 		s.listed = vm.State == savoryworld.VMLive
 	}
 	for address, s := range t.peers {
-		if !listed[address] {
-			s.listed = false
-			if !s.answers(now) {
-				delete(t.peers, address)
-			}
+		if listed[address] {
+			continue
+		}
+		s.listed = false
+		if now.Sub(s.heardAt) > unlistedFor {
+			t.forget(address)
 		}
 	}
 }
@@ -101,24 +106,17 @@
 	if peer.Address == t.Self.Address {
 		return
 	}
-	if t.peers == nil {
-		t.peers = make(map[netip.AddrPort]*peerState)
-	}
-	s := t.peers[peer.Address]
-	if s == nil {
-		s = &peerState{peer: peer}
-		t.peers[peer.Address] = s
-	}
+	s := t.state(peer)
 	s.peer = peer
-	s.tried = true
 	s.heardAt = now
+	s.missedAt = time.Time{}
 	s.draining = draining
 }
 
-// Missed records that a heartbeat to the address was not answered.
-func (t *Table) Missed(address netip.AddrPort) {
+// Missed records that a call to the address was not answered.
+func (t *Table) Missed(address netip.AddrPort, now time.Time) {
 	if s := t.peers[address]; s != nil {
-		s.tried = true
+		s.missedAt = now
 	}
 }
 
@@ -127,129 +125,139 @@
 	return t.selectPeers(func(*peerState) bool { return true })
 }
 
-// Live returns the peers that answer, and listed ones not yet tried.
+// Live returns the peers that count as live, by address.
 func (t *Table) Live(now time.Time) []Peer {
 	return t.selectPeers(func(s *peerState) bool { return s.live(now) })
 }
 
-// Relays returns the relays of a zone in this entry's view, first choice
-// first.
-func (t *Table) Relays(zone string, now time.Time) []Peer {
+// Watchers returns the entries of a zone that watch the store in this entry's
+// view, first choice first.
+func (t *Table) Watchers(zone string, now time.Time) []Peer {
 	members := t.selectPeers(func(s *peerState) bool {
 		return s.peer.Zone == zone && s.live(now) && !s.draining
 	})
 	if t.Self.Zone == zone {
 		members = append(members, t.Self)
 	}
-	return savoryhash.Top(relayKey+" "+zone, members, Peer.Name, RelaysPerZone)
+	return savoryhash.Top(watchersKey+" "+zone, members, Peer.Name, WatchersPerZone)
 }
 
-// IsRelay reports whether this entry is a relay of its zone in its own view.
-func (t *Table) IsRelay(now time.Time) bool {
-	return slices.Contains(t.Relays(t.Self.Zone, now), t.Self)
+// IsWatcher reports whether this entry watches the store in its own view.
+func (t *Table) IsWatcher(now time.Time) bool {
+	return slices.Contains(t.Watchers(t.Self.Zone, now), t.Self)
 }
 
-// Zones returns the zones that hold a live entry, sorted.
-func (t *Table) Zones(now time.Time) []string {
-	zones := []string{t.Self.Zone}
-	for _, p := range t.Live(now) {
-		if !slices.Contains(zones, p.Zone) {
-			zones = append(zones, p.Zone)
-		}
-	}
-	slices.Sort(zones)
-	return zones
-}
-
-// HeartbeatTargets returns the peers to exchange a heartbeat with now. Known
-// peers that are silent are among them, so that a healed link is noticed.
+// HeartbeatTargets returns the peers to exchange a heartbeat with now. Peers
+// that were missed are among those that may be picked, so that a healed link is
+// noticed.
 func (t *Table) HeartbeatTargets(now time.Time) []Peer {
-	known := t.Known()
-	if len(known) <= FullMesh {
-		return known
-	}
-	targets := without(t.Relays(t.Self.Zone, now), t.Self)
-	if t.IsRelay(now) {
-		for _, zone := range t.Zones(now) {
-			if zone != t.Self.Zone {
-				targets = append(targets, t.Relays(zone, now)[:1]...)
-			}
-		}
+	if len(t.order) <= FullMesh {
+		return t.Known()
 	}
-	return appendNew(targets, t.randomPeer(known))
+	far := t.Rand.Float64() < farHeartbeat
+	return t.pick(1, func(s *peerState) bool {
+		return (s.peer.Zone != t.Self.Zone) == far && (s.live(now) || t.Rand.Float64() < farNews)
+	})
 }
 
-// PushTargets returns the peers that a change is handed to. An entry that
-// accepted a change hands it to the relays of every zone; a relay hands it on
-// to the entries of its own zone.
-func (t *Table) PushTargets(origin bool, now time.Time) []Peer {
-	live := t.Live(now)
-	if len(t.peers) <= FullMesh {
+// NewsTargets returns the peers that news is handed to. The entry where it
+// began hands it to every zone, a receiver to a few entries of its own.
+func (t *Table) NewsTargets(origin bool, now time.Time) []Peer {
+	if len(t.order) <= FullMesh {
 		if origin {
-			return live
+			return t.Live(now)
 		}
 		return nil
 	}
-	var targets []Peer
-	if t.IsRelay(now) {
-		for _, p := range live {
-			if p.Zone == t.Self.Zone {
-				targets = append(targets, p)
-			}
-		}
-	}
+	targets := t.pick(nearFanout, func(s *peerState) bool { return s.peer.Zone == t.Self.Zone && s.live(now) })
 	if origin {
-		for _, zone := range t.Zones(now) {
-			targets = appendNew(targets, without(t.Relays(zone, now), t.Self)...)
+		for _, zone := range t.otherZones(now) {
+			targets = append(targets, t.pick(farFanout, func(s *peerState) bool { return s.peer.Zone == zone && s.live(now) })...)
 		}
+		return targets
+	}
+	if t.Rand.Float64() < farNews {
+		targets = append(targets, t.pick(1, func(s *peerState) bool { return s.peer.Zone != t.Self.Zone && s.live(now) })...)
 	}
 	return targets
 }
 
-// randomPeer returns one known peer, preferring the own zone.
-func (t *Table) randomPeer(known []Peer) Peer {
-	if t.Rand.Float64() >= farChance {
-		var near []Peer
-		for _, p := range known {
-			if p.Zone == t.Self.Zone {
-				near = append(near, p)
-			}
-		}
-		if len(near) > 0 {
-			return near[t.Rand.IntN(len(near))]
+// otherZones returns the other zones that hold a live entry, sorted.
+func (t *Table) otherZones(now time.Time) []string {
+	var zones []string
+	for _, s := range t.order {
+		if s.peer.Zone != t.Self.Zone && s.live(now) && !slices.Contains(zones, s.peer.Zone) {
+			zones = append(zones, s.peer.Zone)
 		}
 	}
-	return known[t.Rand.IntN(len(known))]
+	slices.Sort(zones)
+	return zones
 }
 
-func (t *Table) selectPeers(keep func(*peerState) bool) []Peer {
-	var peers []Peer
-	for _, s := range t.peers {
+// pick returns up to n random peers of those that keep accepts.
+func (t *Table) pick(n int, keep func(*peerState) bool) []Peer {
+	var picked []Peer
+	if len(t.order) == 0 {
+		return nil
+	}
+	matching := make([]*peerState, 0, len(t.order))
+	for _, s := range t.order {
 		if keep(s) {
-			peers = append(peers, s.peer)
+			matching = append(matching, s)
 		}
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return a.Address.Compare(b.Address) })
-	return peers
+	for len(picked) < n && len(matching) > 0 {
+		i := t.Rand.IntN(len(matching))
+		picked = append(picked, matching[i].peer)
+		matching[i] = matching[len(matching)-1]
+		matching = matching[:len(matching)-1]
+	}
+	return picked
 }
 
-func (s *peerState) answers(now time.Time) bool {
-	return !s.heardAt.IsZero() && now.Sub(s.heardAt) < SilentAfter
+// state returns the state of a peer, new if it was not known.
+func (t *Table) state(peer Peer) *peerState {
+	if t.peers == nil {
+		t.peers = make(map[netip.AddrPort]*peerState)
+	}
+	s := t.peers[peer.Address]
+	if s == nil {
+		s = &peerState{peer: peer}
+		t.peers[peer.Address] = s
+		at, _ := t.position(peer.Address)
+		t.order = slices.Insert(t.order, at, s)
+	}
+	return s
 }
 
-func (s *peerState) live(now time.Time) bool {
-	return s.answers(now) || (s.listed && !s.tried)
+func (t *Table) forget(address netip.AddrPort) {
+	delete(t.peers, address)
+	if at, found := t.position(address); found {
+		t.order = slices.Delete(t.order, at, at+1)
+	}
 }
 
-func without(peers []Peer, self Peer) []Peer {
-	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Address == self.Address })
+func (t *Table) position(address netip.AddrPort) (int, bool) {
+	return slices.BinarySearchFunc(t.order, address, func(s *peerState, address netip.AddrPort) int {
+		return s.peer.Address.Compare(address)
+	})
 }
 
-func appendNew(peers []Peer, more ...Peer) []Peer {
-	for _, p := range more {
-		if !slices.Contains(peers, p) {
-			peers = append(peers, p)
+func (t *Table) selectPeers(keep func(*peerState) bool) []Peer {
+	var peers []Peer
+	for _, s := range t.order {
+		if keep(s) {
+			peers = append(peers, s.peer)
 		}
 	}
 	return peers
 }
+
+// live reports whether the peer counts as live: it is listed or was heard of
+// lately, and was not missed since.
+func (s *peerState) live(now time.Time) bool {
+	if !s.missedAt.IsZero() && now.Sub(s.missedAt) < missedFor {
+		return false
+	}
+	return s.listed || now.Sub(s.heardAt) < unlistedFor
+}
--- /dev/null
+++ b/savorycore/savoryorder/order_test.go
@@ -0,0 +1,147 @@
+package savoryorder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// engine is a fake that holds what the last order that reached it said. One
+// that checks fencing numbers refuses older ones.
+type engine struct {
+	checks bool
+	fence  int64
+	holds  savoryengine.Wanted
+}
+
+func (e *engine) order(fence int64, wanted savoryengine.Wanted) {
+	if e.checks && fence < e.fence {
+		return
+	}
+	e.fence = max(e.fence, fence)
+	e.holds = wanted
+}
+
+// lateOrder is an order that is still under way.
+type lateOrder struct {
+	engine int
+	fence  int64
+	wanted savoryengine.Wanted
+}
+
+// Two orderers follow one another over a lease; the first may be paused and
+// resume with the configuration that it knew, and its orders may arrive late.
+// An engine that checks fencing numbers never goes back to the old state once
+// the new orderer has ordered it; one that does not ends at the new state all
+// the same, because its state is read back.
+func TestLapsedOrdererDoesNoHarm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ttl = 10 * time.Second
+		now := time.Unix(1000, 0)
+		old := savoryengine.Wanted{Model: "m", Version: "v1"}
+		wanted := savoryengine.Wanted{Model: "m", Version: "v2"}
+		engines := []*engine{{checks: true}, {checks: false}}
+		var late []lateOrder
+		first, second := &Tenure{Margin: ttl / 3}, &Tenure{Margin: ttl / 3}
+		first.Took(1, now, ttl)
+		leaseEnds := now.Add(ttl)
+		planner := &Planner{MaxLoading: 2}
+		servers := []savoryworld.BackendServer{{Name: "0", Model: "m", Version: "v2"}, {Name: "1", Model: "m", Version: "v2"}}
+		ordered := make([]bool, len(engines))
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "who") {
+			case 0:
+				if fence, held := first.Fence(now); held {
+					if !now.Before(leaseEnds) {
+						t.Fatal("the first orderer holds a lease that has ended at the store")
+					}
+					late = append(late, lateOrder{rapid.IntRange(0, 1).Draw(t, "engine"), fence, old})
+				}
+			case 1:
+				if len(late) > 0 {
+					o := late[0]
+					late = late[1:]
+					engines[o.engine].order(o.fence, o.wanted)
+				}
+			default:
+				if now.After(leaseEnds) {
+					second.Took(2, now, ttl)
+				}
+				work(second, planner, servers, engines, ordered, now)
+			}
+			if e := engines[0]; ordered[0] && e.holds != wanted {
+				t.Fatal("an engine that checks fencing numbers went back")
+			}
+		}
+		for _, o := range late {
+			engines[o.engine].order(o.fence, o.wanted)
+		}
+		for range 20 {
+			now = now.Add(maxOrderPause)
+			second.Took(2, now, ttl)
+			work(second, planner, servers, engines, ordered, now)
+		}
+		for i, e := range engines {
+			if e.holds != wanted {
+				t.Fatalf("engine %d holds %v in the end", i, e.holds)
+			}
+		}
+	})
+}
+
+// work is a round of the second orderer.
+func work(tenure *Tenure, planner *Planner, servers []savoryworld.BackendServer, engines []*engine, ordered []bool, now time.Time) {
+	fence, held := tenure.Fence(now)
+	if !held {
+		return
+	}
+	for i, e := range engines {
+		planner.Observe(fmt.Sprint(i), savoryengine.Status{Holds: e.holds}, now)
+	}
+	for _, o := range planner.Plan(servers, now) {
+		i := int(o.Server.Name[0] - '0')
+		engines[i].order(fence, o.Wanted)
+		ordered[i] = true
+	}
+}
+
+func TestPlanKeepsToWeightStoreRate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	planner := &Planner{MaxLoading: 2}
+	var servers []savoryworld.BackendServer
+	for i := range 6 {
+		name := fmt.Sprint("e", i)
+		servers = append(servers, savoryworld.BackendServer{Name: name, Model: "m", Version: "v2"})
+		planner.Observe(name, savoryengine.Status{Holds: savoryengine.Wanted{Model: "m", Version: "v1"}}, now)
+	}
+	is.Equal(len(planner.Plan(servers, now)), 2)
+	is.Equal(len(planner.Plan(servers, now)), 0) // both are loading
+
+	// One has loaded: there is room for one more.
+	planner.Observe("e0", savoryengine.Status{Holds: savoryengine.Wanted{Model: "m", Version: "v2"}}, now)
+	planner.Observe("e1", savoryengine.Status{Loading: true}, now)
+	orders := planner.Plan(servers, now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Server.Name, "e2")
+}
+
+func TestPlanLeavesOutLeavingAndUnknown(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	planner := &Planner{MaxLoading: 9}
+	servers := []savoryworld.BackendServer{
+		{Name: "leaving", Model: "m", Leaving: true}, {Name: "unknown", Model: "m"}, {Name: "old", Model: "m"}, {Name: "says", Model: "m"},
+	}
+	planner.Observe("leaving", savoryengine.Status{}, now)
+	planner.Observe("old", savoryengine.Status{}, now.Add(-time.Minute))
+	planner.Observe("says", savoryengine.Status{Leaving: true}, now)
+	is.Equal(len(planner.Plan(servers, now)), 0)
+}
--- a/savorycore/savorypeer/codec.go
+++ b/savorycore/savorypeer/codec.go
@@ -5,8 +5,9 @@
 import (
 	"fmt"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"google.golang.org/grpc/encoding"
+
+	"savorycart.example/savorycore/savorywire"
 )
 
 // codecName is the content subtype on the wire.
@@ -33,7 +34,7 @@
 
 // Marshal encodes a message.
 func (codec) Marshal(v any) ([]byte, error) {
-	body, err := msgpack.Marshal(v)
+	body, err := savorywire.Encode(v)
 	if err != nil {
 		return nil, fmt.Errorf("peer message: %w", err)
 	}
@@ -42,7 +43,7 @@
 
 // Unmarshal decodes a message and checks it.
 func (codec) Unmarshal(data []byte, v any) error {
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := savorywire.Decode(data, v); err != nil {
 		return fmt.Errorf("peer message: %w", err)
 	}
 	m, ok := v.(message)
--- /dev/null
+++ b/savorycore/savorypeer/fuzz_test.go
@@ -0,0 +1,63 @@
+package savorypeer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorymember"
+)
+
+func samples() []message {
+	address := netip.MustParseAddrPort("127.0.0.1:7081")
+	return []message{
+		&Hello{Address: address, Zone: "a", Region: "r", Revision: 7, Demands: []savorylimit.Demand{{Customer: "c", Rate: 2}}},
+		&Offer{From: address, Marks: []savorymember.Mark{{Server: "s", Source: savorymember.FromOperator, Leaving: true, At: time.Unix(5, 0)}}},
+		&Offer{From: address, Delta: &savoryconfig.Delta{Base: 3, Sections: []savoryconfig.SectionDelta{{Section: savoryconfig.Routes, Count: 1}}}},
+		&Fetch{Root: true, Buckets: []savoryconfig.BucketID{{1, 2}}},
+		&Ack{Revision: 3},
+	}
+}
+
+func TestMessagesSurviveCodec(t *testing.T) {
+	is := is.New(t)
+	for _, m := range samples() {
+		body, err := codec{}.Marshal(m)
+		is.NoErr(err)
+		switch m := m.(type) {
+		case *Hello:
+			got := new(Hello)
+			is.NoErr(codec{}.Unmarshal(body, got))
+			is.Equal(got, m)
+		case *Offer:
+			got := new(Offer)
+			is.NoErr(codec{}.Unmarshal(body, got))
+			is.Equal(got, m)
+		}
+	}
+}
+
+// A message from the network is either refused or well formed.
+func FuzzUnmarshal(f *testing.F) {
+	for i, m := range samples() {
+		body, err := codec{}.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(i, body)
+	}
+	f.Fuzz(func(t *testing.T, kind int, body []byte) {
+		targets := []message{new(Hello), new(Offer), new(Ack), new(Fetch), new(State)}
+		m := targets[uint(kind)%uint(len(targets))]
+		if err := (codec{}).Unmarshal(body, m); err != nil {
+			return
+		}
+		if err := m.Check(); err != nil {
+			t.Fatalf("accepted %T that fails its check: %v", m, err)
+		}
+	})
+}
--- a/savorycore/savorypeer/message.go
+++ b/savorycore/savorypeer/message.go
@@ -57,11 +57,13 @@
 	return nil
 }
 
-// Offer hands on news. Root may be empty.
+// Offer hands on news; parts without news are empty.
 type Offer struct {
-	// Root is an encoded savoryconfig.Root.
+	// Root is an encoded savoryconfig.Root, sent where there is no Delta.
 	Root []byte `msgpack:",omitempty"`
-	// Buckets holds buckets of Root that are likely to be new.
+	// Delta turns the root before into the new one.
+	Delta *savoryconfig.Delta `msgpack:",omitempty"`
+	// Buckets holds the buckets that are likely to be new.
 	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
 	Marks   []savorymember.Mark   `msgpack:",omitempty"`
 	// From is the entry that offers and can be asked for what is missing.
@@ -76,6 +78,11 @@
 	if len(o.Buckets) > MaxBuckets {
 		return fmt.Errorf("Offer.Buckets: %d buckets, more than %d", len(o.Buckets), MaxBuckets)
 	}
+	if o.Delta != nil {
+		if err := o.Delta.Check(); err != nil {
+			return err
+		}
+	}
 	return checkParts(o.Buckets, o.Marks)
 }
 
--- a/savoryctl/entries.go
+++ b/savoryctl/entries.go
@@ -53,7 +53,7 @@
 }
 
 func (s *session) printStatus(all []entryStatus) {
-	w := s.table("ENTRY", "ZONE", "REVISION", "READY", "RELAY", "PEERS", "IN FLIGHT")
+	w := s.table("ENTRY", "ZONE", "REVISION", "READY", "WATCHER", "PEERS", "IN FLIGHT")
 	for _, e := range all {
 		if e.Status == nil {
 			fmt.Fprintf(w, "%s\t%s\n", e.Entry, e.Error)
@@ -70,7 +70,7 @@
 			ready = "no: " + e.Status.NotReady
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%t\t%d/%d\t%d\n", e.Entry, e.Status.Zone, e.Status.Revision, ready,
-			e.Status.Relay, live, len(e.Status.Peers), e.Status.InFlight)
+			e.Status.Watcher, live, len(e.Status.Peers), e.Status.InFlight)
 	}
 	_ = w.Flush()
 }
--- a/savoryentry/savorynode/admin.go
+++ b/savoryentry/savorynode/admin.go
@@ -98,7 +98,7 @@
 	now := a.now()
 	status := savoryadmin.Status{
 		Address: a.settings.Peers.Address, Zone: a.settings.Zone, Region: a.settings.Region,
-		Version: savoryversion.Version, Revision: a.keeper.revision(), Draining: a.spread.draining.Load(), Relay: a.spread.isRelay(),
+		Version: savoryversion.Version, Revision: a.keeper.revision(), Draining: a.spread.draining.Load(), Watcher: a.spread.isWatcher(),
 		InFlight: a.flights.count(), Traffic: a.spread.peers.Traffic(),
 	}
 	if err := a.ready(); err != nil {
@@ -220,10 +220,11 @@
 	if err != nil {
 		return err
 	}
+	before := a.keeper.snapshot()
 	if _, err := a.keeper.apply(done.root, done.buckets, a.config.fetch(ctx), "submission"); err != nil {
 		a.log.WithError(err).Error("accepted revision not yet in force here")
 	}
-	a.spread.announceRoot(ctx, done.root, done.buckets)
+	a.spread.offerRoot(ctx, before, done.root, done.buckets, true)
 	writeJSON(w, http.StatusOK, savoryadmin.Accepted{Revision: done.root.Revision})
 	return nil
 }
--- a/savoryentry/savorynode/config.go
+++ b/savoryentry/savorynode/config.go
@@ -115,6 +115,26 @@
 	return found, nil
 }
 
+// fresh returns the buckets in force that before did not name, or none if they
+// are too many to be handed on.
+func (k *configKeeper) fresh(before *savoryconfig.Snapshot) []savoryconfig.Bucket {
+	now := k.snapshot()
+	if before == nil || now == nil {
+		return nil
+	}
+	known := make(map[savoryconfig.BucketID]bool)
+	for _, id := range before.Root.BucketIDs() {
+		known[id] = true
+	}
+	var ids []savoryconfig.BucketID
+	for _, id := range now.Root.BucketIDs() {
+		if !known[id] {
+			ids = append(ids, id)
+		}
+	}
+	return k.held(ids)
+}
+
 // held returns those of the buckets that the entry holds.
 func (k *configKeeper) held(ids []savoryconfig.BucketID) []savoryconfig.Bucket {
 	k.mu.Lock()
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -23,13 +23,16 @@
 const (
 	// heartbeatInterval is the time between two rounds of heartbeats.
 	heartbeatInterval = time.Second
-	// storePollInterval is the time between two reads of the root by a relay;
+	// storePollInterval is the time between two reads of the root by a watcher;
 	// it finds what a watch that went silent does not tell.
 	storePollInterval = 2 * time.Second
-	// relayListInterval and otherListInterval are the times between two reads
+	// rarePollInterval is the time between two reads of the root by an entry
+	// that is not a watcher.
+	rarePollInterval = 30 * time.Second
+	// watcherListInterval and otherListInterval are the times between two reads
 	// of the VM list.
-	relayListInterval = time.Second
-	otherListInterval = 5 * time.Second
+	watcherListInterval = time.Second
+	otherListInterval   = 5 * time.Second
 	// watchPause is the pause before a broken watch is opened again.
 	watchPause = 250 * time.Millisecond
 	// cutOffAfter is the time without any contact to the store or to a peer
@@ -131,7 +134,7 @@
 func (s *spreader) heartbeat(ctx context.Context, peer savorymember.Peer, hello *savorypeer.Hello) {
 	answer, err := s.peers.Exchange(ctx, peer.Address, hello)
 	if err != nil {
-		s.tables.members.with(func(m *memberState) { m.table.Missed(peer.Address) })
+		s.tables.members.with(func(m *memberState) { m.table.Missed(peer.Address, s.now()) })
 		return
 	}
 	s.heard(answer)
@@ -173,13 +176,40 @@
 		s.log.WithError(err).WithField("peer", from).Error("root refused")
 		return
 	}
+	s.putInForce(ctx, root, given, from)
+}
+
+// takeDelta puts the root that a delta from a peer leads to in force. If the
+// delta does not fit what is in force here, the whole root is fetched.
+func (s *spreader) takeDelta(ctx context.Context, delta *savoryconfig.Delta, given []savoryconfig.Bucket, from netip.AddrPort) {
+	revision := s.keeper.revision()
+	if delta.Base < revision {
+		return
+	}
+	if delta.Base == revision && revision > 0 {
+		root, err := delta.ApplyTo(s.keeper.snapshot().Root)
+		if err == nil {
+			s.putInForce(ctx, root, given, from)
+			return
+		}
+		s.log.WithError(err).WithField("peer", from).Error("delta refused")
+	}
+	state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Root: true})
+	if err == nil && len(state.Root) > 0 {
+		s.takeRoot(ctx, state.Root, given, from)
+	}
+}
+
+// putInForce puts a root from a peer in force and hands it on.
+func (s *spreader) putInForce(ctx context.Context, root *savoryconfig.Root, given []savoryconfig.Bucket, from netip.AddrPort) {
+	before := s.keeper.snapshot()
 	fresh, err := s.keeper.apply(root, given, s.fetchFromPeer(ctx, from), "peer "+from.String())
 	if err != nil {
 		s.log.WithError(err).WithField("peer", from).Error("revision refused")
 		return
 	}
 	if fresh {
-		s.offer(ctx, body, given, nil, false)
+		s.offerRoot(ctx, before, root, given, false)
 	}
 }
 
@@ -205,7 +235,7 @@
 	news := s.tables.mergeMarks(marks, s.now())
 	s.logMarks(news)
 	if len(news) > 0 {
-		s.offer(ctx, nil, nil, news, false)
+		s.offer(ctx, &savorypeer.Offer{Marks: news}, false)
 	}
 }
 
@@ -215,7 +245,7 @@
 	news := s.tables.mergeMarks(marks, s.now())
 	s.logMarks(news)
 	if len(news) > 0 {
-		s.offer(ctx, nil, nil, news, true)
+		s.offer(ctx, &savorypeer.Offer{Marks: news}, true)
 	}
 }
 
@@ -235,28 +265,37 @@
 	}
 }
 
-// announceRoot hands an accepted or newly read root to all zones.
-func (s *spreader) announceRoot(ctx context.Context, root *savoryconfig.Root, buckets []savoryconfig.Bucket) {
-	body, err := savoryconfig.EncodeRoot(root)
-	if err != nil {
-		s.log.WithError(err).Error("root not announced")
-		return
+// offerRoot hands a root to peers: as a delta to the one in force before, if it
+// directly follows it.
+func (s *spreader) offerRoot(ctx context.Context, before *savoryconfig.Snapshot, root *savoryconfig.Root, buckets []savoryconfig.Bucket, origin bool) {
+	offer := &savorypeer.Offer{}
+	if len(buckets) <= savorypeer.MaxBuckets {
+		offer.Buckets = buckets
+	}
+	if before != nil {
+		offer.Delta, _ = savoryconfig.DeltaBetween(before.Root, root)
 	}
-	s.offer(ctx, body, buckets, nil, true)
+	if offer.Delta == nil {
+		body, err := savoryconfig.EncodeRoot(root)
+		if err != nil {
+			s.log.WithError(err).Error("root not offered")
+			return
+		}
+		offer.Root = body
+	}
+	s.offer(ctx, offer, origin)
 }
 
 // offer hands news to the peers that are to have it. A peer that does not
 // answer gets it by a later heartbeat.
-func (s *spreader) offer(ctx context.Context, root []byte, buckets []savoryconfig.Bucket, marks []savorymember.Mark, origin bool) {
-	offer := &savorypeer.Offer{Root: root, Marks: marks, From: s.self.Address}
-	if len(buckets) <= savorypeer.MaxBuckets {
-		offer.Buckets = buckets
-	}
+func (s *spreader) offer(ctx context.Context, offer *savorypeer.Offer, origin bool) {
+	offer.From = s.self.Address
 	var targets []savorymember.Peer
-	s.tables.members.with(func(m *memberState) { targets = m.table.PushTargets(origin, s.now()) })
+	s.tables.members.with(func(m *memberState) { targets = m.table.NewsTargets(origin, s.now()) })
 	for _, peer := range targets {
 		s.pool.submit(func() {
 			if _, err := s.peers.Offer(context.WithoutCancel(ctx), peer.Address, offer); err != nil {
+				s.tables.members.with(func(m *memberState) { m.table.Missed(peer.Address, s.now()) })
 				s.log.WithError(err).WithField("peer", peer.Address).Warn("offer not acknowledged")
 			}
 		})
@@ -282,6 +321,9 @@
 	if len(offer.Root) > 0 {
 		s.takeRoot(ctx, offer.Root, offer.Buckets, offer.From)
 	}
+	if offer.Delta != nil {
+		s.takeDelta(ctx, offer.Delta, offer.Buckets, offer.From)
+	}
 	_, digest := s.tables.allMarks(s.now())
 	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest}, nil
 }
@@ -304,18 +346,20 @@
 
 // Following the store.
 
-// pollLoop reads the root from time to time, and once at the start.
+// pollLoop reads the root from time to time: a watcher often, since it finds
+// what a silent watch does not tell, the others seldom, in case no watcher is
+// left in their zone.
 func (s *spreader) pollLoop(t *tomb.Tomb) error {
+	var polledAt time.Time
 	for {
-		s.poll(t.Context(context.Background()))
+		now := s.now()
+		if s.isWatcher() || s.keeper.revision() == 0 || now.Sub(polledAt) >= rarePollInterval {
+			s.poll(t.Context(context.Background()))
+			polledAt = now
+		}
 		if !sleep(t, storePollInterval) {
 			return nil
 		}
-		for !s.isRelay() && s.keeper.revision() > 0 {
-			if !sleep(t, storePollInterval) {
-				return nil
-			}
-		}
 	}
 }
 
@@ -342,13 +386,14 @@
 		s.log.WithFields(log.Fields{"stored": root.Revision, "revision": s.keeper.revision()}).Warn("the store shows an older revision; it is ignored")
 		return
 	}
+	before := s.keeper.snapshot()
 	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
 	if err != nil {
 		s.log.WithError(err).Error("revision refused")
 		return
 	}
 	if fresh {
-		s.announceRoot(ctx, root, nil)
+		s.offerRoot(ctx, before, root, s.keeper.fresh(before), true)
 	}
 }
 
@@ -364,10 +409,10 @@
 	s.announceMarks(ctx, []savorymember.Mark{mark})
 }
 
-// watchLoop holds a watch while the entry is a relay.
+// watchLoop holds a watch while the entry is a watcher.
 func (s *spreader) watchLoop(t *tomb.Tomb) error {
 	for {
-		if s.isRelay() {
+		if s.isWatcher() {
 			s.watch(t)
 		}
 		if !sleep(t, watchPause) {
@@ -377,12 +422,12 @@
 }
 
 // watch follows changes until the watch breaks or the entry is no longer a
-// relay.
+// watcher.
 func (s *spreader) watch(t *tomb.Tomb) {
 	ctx, cancel := context.WithCancel(t.Context(context.Background()))
 	defer cancel()
 	go func() {
-		for s.isRelay() && pause(ctx, storePollInterval) {
+		for s.isWatcher() && pause(ctx, storePollInterval) {
 		}
 		cancel()
 	}()
@@ -407,10 +452,10 @@
 	}
 }
 
-func (s *spreader) isRelay() bool {
-	relay := false
-	s.tables.members.with(func(m *memberState) { relay = m.table.IsRelay(s.now()) })
-	return relay
+func (s *spreader) isWatcher() bool {
+	watcher := false
+	s.tables.members.with(func(m *memberState) { watcher = m.table.IsWatcher(s.now()) })
+	return watcher
 }
 
 // Following the VM list.
@@ -419,8 +464,8 @@
 	for {
 		s.readList(t.Context(context.Background()))
 		interval := otherListInterval
-		if s.isRelay() {
-			interval = relayListInterval
+		if s.isWatcher() {
+			interval = watcherListInterval
 		}
 		if !sleep(t, interval) {
 			return nil
