--- a/savorycore/savoryconfig/bucket.go
+++ b/savorycore/savoryconfig/bucket.go
@@ -119,6 +119,27 @@
 	return n
 }
 
+// newManifest returns the bucket that lists ids.
+func newManifest(ids []BucketID, old BucketID, submission string) (Bucket, error) {
+	body, err := savorywire.Encode(ids)
+	if err != nil {
+		return Bucket{}, err
+	}
+	return Bucket{ID: bucketID(body, []BucketID{old}, submission), Body: body}, nil
+}
+
+// manifest reads the IDs that a manifest lists.
+func (b *Bucket) manifest() ([]BucketID, error) {
+	if err := b.Check(); err != nil {
+		return nil, err
+	}
+	var ids []BucketID
+	if err := savorywire.Decode(b.Body, &ids); err != nil {
+		return nil, fmt.Errorf("manifest %s: %w", b.ID, err)
+	}
+	return ids, nil
+}
+
 // decode reads the records of the bucket.
 func (b *Bucket) decode() (*Document, error) {
 	if err := b.Check(); err != nil {
--- a/savorycore/savoryconfig/delta.go
+++ b/savorycore/savoryconfig/delta.go
@@ -7,8 +7,27 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"savorycart.example/savorycore/savorywire"
 )
 
+// Step is a change of the configuration as peers exchange it: the delta and the
+// buckets that it brings.
+type Step struct {
+	Delta   Delta
+	Buckets []Bucket
+}
+
+// Check returns an error if the step is not well formed.
+func (s *Step) Check() error {
+	for i := range s.Buckets {
+		if err := s.Buckets[i].Check(); err != nil {
+			return err
+		}
+	}
+	return s.Delta.Check()
+}
+
 // Delta turns the root of revision Base into the next one.
 type Delta struct {
 	Base       uint64
@@ -21,6 +40,8 @@
 // SectionDelta lists the buckets of a section that changed.
 type SectionDelta struct {
 	Section Section
+	// Manifest is the ID of the new manifest.
+	Manifest BucketID
 	// Count is the number of buckets of the section after the change.
 	Count   int
 	Changed []BucketChange
@@ -44,7 +65,7 @@
 			continue
 		}
 		old := base.Section(ref.Section).Buckets
-		part := SectionDelta{Section: ref.Section, Count: len(ref.Buckets)}
+		part := SectionDelta{Section: ref.Section, Manifest: ref.Manifest, Count: len(ref.Buckets)}
 		for i, id := range ref.Buckets {
 			if i >= len(old) || old[i] != id {
 				part.Changed = append(part.Changed, BucketChange{Index: i, ID: id})
@@ -55,31 +76,50 @@
 	return d, true
 }
 
-// ApplyTo returns the root that follows base. A delta of another base, or one
-// that does not fit it, is an error.
-func (d *Delta) ApplyTo(base *Root) (*Root, error) {
+// ApplyTo returns the root that follows base, and the new manifests. A delta of
+// another base, or one that does not fit it, is an error.
+func (d *Delta) ApplyTo(base *Root) (*Root, []Bucket, error) {
 	if base.Revision != d.Base {
-		return nil, fmt.Errorf("delta of revision %d does not apply to revision %d", d.Base, base.Revision)
+		return nil, nil, fmt.Errorf("delta of revision %d does not apply to revision %d", d.Base, base.Revision)
 	}
 	next := &Root{Revision: base.Revision + 1, AcceptedAt: d.AcceptedAt, Sections: slices.Clone(base.Sections)}
+	var replaced []BucketID
+	var manifests []Bucket
 	for _, part := range d.Sections {
-		buckets := slices.Clone(base.Section(part.Section).Buckets)
-		buckets = resize(buckets, part.Count)
-		for _, c := range part.Changed {
-			if c.Index < 0 || c.Index >= len(buckets) {
-				return nil, fmt.Errorf("delta of section %s: index %d of %d buckets", part.Section, c.Index, len(buckets))
-			}
-			buckets[c.Index] = c.ID
+		old := base.Section(part.Section)
+		replaced = append(replaced, old.Manifest)
+		replaced = append(replaced, old.Buckets...)
+		manifest, ids, err := part.manifest(old)
+		if err != nil {
+			return nil, nil, err
 		}
-		next.replaceSection(SectionRef{Section: part.Section, Revision: next.Revision, Buckets: buckets})
+		manifests = append(manifests, manifest)
+		next.replaceSection(SectionRef{Section: part.Section, Revision: next.Revision, Manifest: part.Manifest, Buckets: ids})
 	}
 	next.Submissions = rememberSubmission(base, d.Submission)
-	var replaced []BucketID
-	for _, part := range d.Sections {
-		replaced = append(replaced, base.Section(part.Section).Buckets...)
-	}
 	next.Retired = retire(base, next, replaced, d.AcceptedAt)
-	return next, nil
+	return next, manifests, nil
+}
+
+// manifest builds the new manifest from the old section. It must have the
+// content that its ID names.
+func (p *SectionDelta) manifest(old SectionRef) (Bucket, []BucketID, error) {
+	ids := resize(slices.Clone(old.Buckets), p.Count)
+	for _, c := range p.Changed {
+		if c.Index < 0 || c.Index >= len(ids) {
+			return Bucket{}, nil, fmt.Errorf("delta of section %s: index %d of %d buckets", p.Section, c.Index, len(ids))
+		}
+		ids[c.Index] = c.ID
+	}
+	body, err := savorywire.Encode(ids)
+	if err != nil {
+		return Bucket{}, nil, err
+	}
+	manifest := Bucket{ID: p.Manifest, Body: body}
+	if err := manifest.Check(); err != nil {
+		return Bucket{}, nil, fmt.Errorf("delta of section %s: %w", p.Section, err)
+	}
+	return manifest, ids, nil
 }
 
 // Check returns an error if the delta is not well formed.
--- a/savorycore/savoryconfig/root.go
+++ b/savorycore/savoryconfig/root.go
@@ -12,11 +12,11 @@
 
 // submissionsKept is the number of accepted submissions that a root remembers,
 // so that a writer whose answer was lost can learn whether it was accepted.
-const submissionsKept = 32
+const submissionsKept = 16
 
 // retiredGrace is how long a bucket stays in the store after the last root
 // that named it, for entries that still fetch that root.
-const retiredGrace = time.Hour
+const retiredGrace = 5 * time.Minute
 
 // Root names the content of one revision of the document.
 type Root struct {
@@ -32,12 +32,17 @@
 	Retired []RetiredBucket
 }
 
-// SectionRef names the buckets of one section.
+// SectionRef names the content of one section.
 type SectionRef struct {
 	Section Section
 	// Revision is the root's revision that last changed the section.
 	Revision uint64
-	Buckets  []BucketID
+	// Manifest is a bucket that lists the section's buckets. It keeps the
+	// encoded root small.
+	Manifest BucketID
+	// Buckets is the content of the manifest; it is not part of the encoded
+	// root.
+	Buckets []BucketID `msgpack:"-"`
 }
 
 // Submission is one accepted change.
@@ -71,7 +76,8 @@
 // EncodeRoot writes r for the store and for peers.
 func EncodeRoot(r *Root) ([]byte, error) { return savorywire.Encode(r) }
 
-// DecodeRoot reads a root.
+// DecodeRoot reads a root. Its sections must be filled before its buckets are
+// known.
 func DecodeRoot(body []byte) (*Root, error) {
 	r := new(Root)
 	if err := savorywire.Decode(body, r); err != nil {
@@ -106,18 +112,54 @@
 	return 0, false
 }
 
-// BucketIDs returns the IDs of all buckets that r names, each once.
+// Manifests returns the IDs of the manifests of the sections that have one.
+func (r *Root) Manifests() []BucketID {
+	var ids []BucketID
+	for _, ref := range r.Sections {
+		if ref.Manifest != (BucketID{}) {
+			ids = append(ids, ref.Manifest)
+		}
+	}
+	return ids
+}
+
+// Fill reads the manifests. A missing or broken one is an error.
+func (r *Root) Fill(find func(BucketID) (Bucket, bool)) error {
+	for i := range r.Sections {
+		ref := &r.Sections[i]
+		if ref.Manifest == (BucketID{}) {
+			continue
+		}
+		manifest, ok := find(ref.Manifest)
+		if !ok {
+			return fmt.Errorf("revision %d: manifest %s of section %s is missing", r.Revision, ref.Manifest, ref.Section)
+		}
+		ids, err := manifest.manifest()
+		if err != nil {
+			return fmt.Errorf("revision %d: %w", r.Revision, err)
+		}
+		ref.Buckets = ids
+	}
+	return nil
+}
+
+// BucketIDs returns the IDs of all manifests and buckets that r names, each
+// once. The sections must be filled.
 func (r *Root) BucketIDs() []BucketID {
 	seen := make(map[BucketID]bool)
 	var all []BucketID
-	for _, ref := range r.Sections {
-		for _, id := range ref.Buckets {
+	add := func(ids ...BucketID) {
+		for _, id := range ids {
 			if !seen[id] {
 				seen[id] = true
 				all = append(all, id)
 			}
 		}
 	}
+	add(r.Manifests()...)
+	for _, ref := range r.Sections {
+		add(ref.Buckets...)
+	}
 	return all
 }
 
@@ -132,8 +174,33 @@
 type Part struct {
 	Section Section
 	// Read is the revision of the section that the change was made against.
-	Read    uint64
-	Buckets []Bucket
+	Read uint64
+	// Manifest lists Buckets.
+	Manifest Bucket
+	Buckets  []Bucket
+}
+
+// NewPart returns the part that replaces section s of the root by that of doc.
+func NewPart(r *Root, doc *Document, s Section, read uint64, submission string) (Part, error) {
+	old := r.Section(s)
+	buckets, err := SplitSection(doc, s, old.Buckets, submission)
+	if err != nil {
+		return Part{}, err
+	}
+	ids := make([]BucketID, len(buckets))
+	for i, b := range buckets {
+		ids[i] = b.ID
+	}
+	manifest, err := newManifest(ids, old.Manifest, submission)
+	if err != nil {
+		return Part{}, fmt.Errorf("section %s: %w", s, err)
+	}
+	return Part{Section: s, Read: read, Manifest: manifest, Buckets: buckets}, nil
+}
+
+// Content returns the manifest and the buckets of the part.
+func (p *Part) Content() []Bucket {
+	return append([]Bucket{p.Manifest}, p.Buckets...)
 }
 
 // Apply returns the root that follows r after change at now. A change made
@@ -149,6 +216,7 @@
 		if old.Revision != part.Read {
 			return nil, &ConflictError{Section: part.Section, Read: part.Read, Current: old.Revision}
 		}
+		replaced = append(replaced, old.Manifest)
 		replaced = append(replaced, old.Buckets...)
 		next.setSection(part)
 	}
@@ -158,7 +226,7 @@
 }
 
 func (r *Root) setSection(part Part) {
-	ref := SectionRef{Section: part.Section, Revision: r.Revision}
+	ref := SectionRef{Section: part.Section, Revision: r.Revision, Manifest: part.Manifest.ID}
 	for _, b := range part.Buckets {
 		ref.Buckets = append(ref.Buckets, b.ID)
 	}
@@ -197,7 +265,7 @@
 		}
 	}
 	for _, id := range replaced {
-		if !named[id] {
+		if !named[id] && id != (BucketID{}) {
 			retired = append(retired, RetiredBucket{ID: id, Since: now})
 			named[id] = true
 		}
--- a/savorycore/savoryconfig/root_test.go
+++ b/savorycore/savoryconfig/root_test.go
@@ -54,17 +54,16 @@
 	return b, ok
 }
 
-// put splits a section of doc and returns the part of a change.
+// put returns the part of a change and puts its buckets on the shelf.
 func (s shelf) put(t *rapid.T, root *Root, doc *Document, section Section, submission string) Part {
-	ref := root.Section(section)
-	buckets, err := SplitSection(doc, section, ref.Buckets, submission)
+	part, err := NewPart(root, doc, section, root.Section(section).Revision, submission)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, b := range buckets {
+	for _, b := range part.Content() {
 		s[b.ID] = b
 	}
-	return Part{Section: section, Read: ref.Revision, Buckets: buckets}
+	return part
 }
 
 // A sequence of changes keeps the revisions growing, refuses changes that were
@@ -121,7 +120,7 @@
 	if !ok {
 		t.Fatal("no delta between a root and the next")
 	}
-	built, err := delta.ApplyTo(root)
+	built, _, err := delta.ApplyTo(root)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,6 +133,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if err := decoded.Fill(store.find); err != nil {
+			t.Fatal(err)
+		}
 		snapshot, err := Assemble(decoded, store.find)
 		if err != nil {
 			t.Fatal(err)
@@ -222,14 +224,14 @@
 		store := make(shelf)
 		change := Change{Submission: "fuzz"}
 		for _, s := range Sections() {
-			buckets, err := SplitSection(doc, s, nil, "fuzz")
+			part, err := NewPart(root, doc, s, 0, "fuzz")
 			if err != nil {
 				return
 			}
-			for _, b := range buckets {
+			for _, b := range part.Content() {
 				store[b.ID] = b
 			}
-			change.Parts = append(change.Parts, Part{Section: s, Buckets: buckets})
+			change.Parts = append(change.Parts, part)
 		}
 		next, err := root.Apply(change, time.Unix(0, 0))
 		if err != nil {
@@ -242,7 +244,7 @@
 }
 
 func FuzzDecodeRoot(f *testing.F) {
-	body, err := EncodeRoot(&Root{Revision: 3, Sections: []SectionRef{{Section: Customers, Buckets: []BucketID{{1}}}}})
+	body, err := EncodeRoot(&Root{Revision: 3, Sections: []SectionRef{{Section: Customers, Manifest: BucketID{1}}}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -252,8 +254,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := Assemble(root, func(BucketID) (Bucket, bool) { return Bucket{}, false }); err == nil && len(root.BucketIDs()) > 0 {
-			t.Fatal("assembled from missing buckets")
+		if err := root.Fill(func(BucketID) (Bucket, bool) { return Bucket{}, false }); err == nil && len(root.Manifests()) > 0 {
+			t.Fatal("filled from missing manifests")
 		}
 	})
 }
--- a/savorycore/savoryconfig/snapshot.go
+++ b/savorycore/savoryconfig/snapshot.go
@@ -33,20 +33,24 @@
 
 type zonePair struct{ from, to string }
 
-// Assemble builds the snapshot of root from its buckets. A missing bucket, one
-// with other content, or a document that fails its checks is an error.
+// Assemble builds the snapshot of a filled root from its buckets. A missing
+// bucket, one with other content, or a document that fails its checks is an
+// error.
 func Assemble(root *Root, find func(BucketID) (Bucket, bool)) (*Snapshot, error) {
 	doc := new(Document)
-	for _, id := range root.BucketIDs() {
-		bucket, ok := find(id)
-		if !ok {
-			return nil, fmt.Errorf("revision %d: bucket %s is missing", root.Revision, id)
+	for _, ref := range root.Sections {
+		for _, id := range ref.Buckets {
+			bucket, ok := find(id)
+			if !ok {
+				return nil, fmt.Errorf("revision %d: bucket %s of section %s is missing", root.Revision, id, ref.Section)
+			}
+			part, err := bucket.decode()
+			if err != nil {
+				return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+			}
+			// A bucket speaks for its own section only.
+			doc.appendDocument(part.Only(ref.Section))
 		}
-		part, err := bucket.decode()
-		if err != nil {
-			return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
-		}
-		doc.appendDocument(part)
 	}
 	doc.sort()
 	if err := doc.Check(); err != nil {
--- a/savorycore/savorypeer/client.go
+++ b/savorycore/savorypeer/client.go
@@ -38,7 +38,8 @@
 }
 
 type peerConn struct {
-	conn *grpc.ClientConn
+	conn   *grpc.ClientConn
+	usedAt time.Time
 	// unanswered counts calls in a row without an answer.
 	unanswered atomic.Int32
 }
@@ -119,8 +120,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.conns[to]; p != nil {
+		p.usedAt = time.Now()
 		return p, nil
 	}
+	c.dropUnused()
 	creds := c.Credentials
 	if creds == nil {
 		creds = insecure.NewCredentials()
@@ -129,7 +132,8 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithStatsHandler((*trafficCounter)(c)),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: idleTime, Timeout: checkTime, PermitWithoutStream: true}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: checkAfter, Timeout: checkTime}),
+		grpc.WithIdleTimeout(unusedTime),
 		grpc.WithDisableServiceConfig(),
 	)
 	if err != nil {
@@ -138,11 +142,22 @@
 	if c.conns == nil {
 		c.conns = make(map[netip.AddrPort]*peerConn)
 	}
-	p := &peerConn{conn: conn}
+	p := &peerConn{conn: conn, usedAt: time.Now()}
 	c.conns[to] = p
 	return p, nil
 }
 
+// dropUnused drops connections that were not used for long: in a large fleet an
+// entry talks to each other one seldom.
+func (c *Client) dropUnused() {
+	for address, p := range c.conns {
+		if time.Since(p.usedAt) > 2*unusedTime {
+			_ = p.conn.Close()
+			delete(c.conns, address)
+		}
+	}
+}
+
 // trafficCounter counts a client's bytes.
 type trafficCounter Client
 
--- a/savorycore/savorypeer/fuzz_test.go
+++ b/savorycore/savorypeer/fuzz_test.go
@@ -17,8 +17,10 @@
 	return []message{
 		&Hello{Address: address, Zone: "a", Region: "r", Revision: 7, Demands: []savorylimit.Demand{{Customer: "c", Rate: 2}}},
 		&Offer{From: address, Marks: []savorymember.Mark{{Server: "s", Source: savorymember.FromOperator, Leaving: true, At: time.Unix(5, 0)}}},
-		&Offer{From: address, Delta: &savoryconfig.Delta{Base: 3, Sections: []savoryconfig.SectionDelta{{Section: savoryconfig.Routes, Count: 1}}}},
-		&Fetch{Root: true, Buckets: []savoryconfig.BucketID{{1, 2}}},
+		&State{Steps: []savoryconfig.Step{{Delta: savoryconfig.Delta{
+			Base: 3, Sections: []savoryconfig.SectionDelta{{Section: savoryconfig.Routes, Count: 1}},
+		}}}},
+		&Fetch{Config: true, Since: 2, Buckets: []savoryconfig.BucketID{{1, 2}}},
 		&Ack{Revision: 3},
 	}
 }
--- a/savorycore/savorypeer/message.go
+++ b/savorycore/savorypeer/message.go
@@ -2,9 +2,9 @@
 // codec on the domain types, so that no code is generated.
 //
 // Three calls exist. Exchange is the heartbeat: both sides tell their revision,
-// the digest of their leaving marks and their demands. Offer hands on a new
-// revision of the configuration or new marks. Fetch asks for a root, buckets
-// or marks that the caller lacks. Each message checks itself when it is
+// the digest of their leaving marks and their demands. Offer tells of a new
+// revision of the configuration and hands new marks on. Fetch asks for a root,
+// buckets or marks that the caller lacks. Each message checks itself when it is
 // decoded.
 package savorypeer
 
@@ -57,15 +57,12 @@
 	return nil
 }
 
-// Offer hands on news; parts without news are empty.
+// Offer tells of news. Marks are small and are handed on at once; a revision is
+// fetched by those who lack it.
 type Offer struct {
-	// Root is an encoded savoryconfig.Root, sent where there is no Delta.
-	Root []byte `msgpack:",omitempty"`
-	// Delta turns the root before into the new one.
-	Delta *savoryconfig.Delta `msgpack:",omitempty"`
-	// Buckets holds the buckets that are likely to be new.
-	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
-	Marks   []savorymember.Mark   `msgpack:",omitempty"`
+	// Revision is the revision in force at the sender.
+	Revision uint64              `msgpack:",omitempty"`
+	Marks    []savorymember.Mark `msgpack:",omitempty"`
 	// From is the entry that offers and can be asked for what is missing.
 	From netip.AddrPort
 }
@@ -75,15 +72,7 @@
 	if !o.From.IsValid() {
 		return errors.New("Offer.From: is not an IP address with a port")
 	}
-	if len(o.Buckets) > MaxBuckets {
-		return fmt.Errorf("Offer.Buckets: %d buckets, more than %d", len(o.Buckets), MaxBuckets)
-	}
-	if o.Delta != nil {
-		if err := o.Delta.Check(); err != nil {
-			return err
-		}
-	}
-	return checkParts(o.Buckets, o.Marks)
+	return checkMarks(o.Marks)
 }
 
 // Ack answers an Offer with what is now in force at the receiver.
@@ -97,8 +86,9 @@
 
 // Fetch asks for state.
 type Fetch struct {
-	// Root asks for the root in force.
-	Root bool `msgpack:",omitempty"`
+	// Config asks for the configuration if it is newer than Since.
+	Config bool   `msgpack:",omitempty"`
+	Since  uint64 `msgpack:",omitempty"`
 	// Marks asks for all marks.
 	Marks bool `msgpack:",omitempty"`
 	// Buckets names buckets.
@@ -115,6 +105,9 @@
 
 // State answers a Fetch. Buckets that the sender lacks are left out.
 type State struct {
+	// Steps leads from the revision Since to the one in force.
+	Steps []savoryconfig.Step `msgpack:",omitempty"`
+	// Root is an encoded savoryconfig.Root, where no steps lead there.
 	Root    []byte                `msgpack:",omitempty"`
 	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
 	Marks   []savorymember.Mark   `msgpack:",omitempty"`
@@ -125,15 +118,20 @@
 	if len(s.Buckets) > MaxBuckets {
 		return fmt.Errorf("State.Buckets: %d buckets, more than %d", len(s.Buckets), MaxBuckets)
 	}
-	return checkParts(s.Buckets, s.Marks)
-}
-
-func checkParts(buckets []savoryconfig.Bucket, marks []savorymember.Mark) error {
-	for i := range buckets {
-		if err := buckets[i].Check(); err != nil {
+	for i := range s.Steps {
+		if err := s.Steps[i].Check(); err != nil {
+			return err
+		}
+	}
+	for i := range s.Buckets {
+		if err := s.Buckets[i].Check(); err != nil {
 			return err
 		}
 	}
+	return checkMarks(s.Marks)
+}
+
+func checkMarks(marks []savorymember.Mark) error {
 	if len(marks) > maxMarks {
 		return fmt.Errorf("marks: %d entries, more than %d", len(marks), maxMarks)
 	}
--- a/savorycore/savorypeer/server.go
+++ b/savorycore/savorypeer/server.go
@@ -20,11 +20,13 @@
 	methodFetch    = "Fetch"
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 16 << 20
-	// idleTime is the time without a message after which a connection is
-	// checked, and closed if nothing answers.
-	idleTime = 10 * time.Second
+	// checkAfter is the time without a message after which a connection with a
+	// call in flight is checked, and closed if nothing answers.
+	checkAfter = 10 * time.Second
 	// checkTime is how long such a check waits.
 	checkTime = 3 * time.Second
+	// unusedTime is the time without a call after which a connection is closed.
+	unusedTime = 20 * time.Second
 )
 
 // Server answers the calls of other entries. Its exported fields are set
@@ -44,8 +46,8 @@
 	options := []grpc.ServerOption{
 		grpc.ForceServerCodec(codec{}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: idleTime, Timeout: checkTime}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: idleTime / 2, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 2 * unusedTime, Timeout: checkTime, MaxConnectionIdle: 2 * unusedTime}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: checkAfter / 2}),
 	}
 	if s.Credentials != nil {
 		options = append(options, grpc.Creds(s.Credentials))
--- a/savoryentry/savorynode/admin.go
+++ b/savoryentry/savorynode/admin.go
@@ -220,11 +220,10 @@
 	if err != nil {
 		return err
 	}
-	before := a.keeper.snapshot()
 	if _, err := a.keeper.apply(done.root, done.buckets, a.config.fetch(ctx), "submission"); err != nil {
 		a.log.WithError(err).Error("accepted revision not yet in force here")
 	}
-	a.spread.offerRoot(ctx, before, done.root, done.buckets, true)
+	a.spread.announceRevision(ctx)
 	writeJSON(w, http.StatusOK, savoryadmin.Accepted{Revision: done.root.Revision})
 	return nil
 }
--- a/savoryentry/savorynode/config.go
+++ b/savoryentry/savorynode/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,8 +27,14 @@
 
 	mu      sync.Mutex
 	buckets map[savoryconfig.BucketID]savoryconfig.Bucket
+	// steps leads to the root in force, oldest first.
+	steps []savoryconfig.Step
 }
 
+// stepsKept is the number of steps that an entry keeps for peers that are
+// behind.
+const stepsKept = 8
+
 // bucketFetcher returns buckets by ID; it may leave some out.
 type bucketFetcher func([]savoryconfig.BucketID) ([]savoryconfig.Bucket, error)
 
@@ -72,6 +79,9 @@
 	}
 	old := k.revision()
 	k.buckets = buckets
+	if before := k.snapshot(); before != nil {
+		k.remember(before.Root, snapshot.Root)
+	}
 	k.current.Store(snapshot)
 	k.inForce(snapshot)
 	delay := k.now().Sub(snapshot.Root.AcceptedAt)
@@ -83,56 +93,89 @@
 	return true
 }
 
-// collect returns all buckets of root.
+// collect fills root and returns all of its buckets.
 func (k *configKeeper) collect(root *savoryconfig.Root, given []savoryconfig.Bucket, fetch bucketFetcher) (map[savoryconfig.BucketID]savoryconfig.Bucket, error) {
 	found := make(map[savoryconfig.BucketID]savoryconfig.Bucket)
 	for _, b := range given {
 		found[b.ID] = b
 	}
+	if err := k.complete(found, root.Manifests(), fetch); err != nil {
+		return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+	}
+	err := root.Fill(func(id savoryconfig.BucketID) (savoryconfig.Bucket, bool) {
+		b, ok := found[id]
+		return b, ok
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := k.complete(found, root.BucketIDs(), fetch); err != nil {
+		return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+	}
+	return found, nil
+}
+
+// complete adds the buckets of ids to found, from those held here or fetched.
+func (k *configKeeper) complete(found map[savoryconfig.BucketID]savoryconfig.Bucket, ids []savoryconfig.BucketID, fetch bucketFetcher) error {
 	var missing []savoryconfig.BucketID
 	k.mu.Lock()
-	for _, id := range root.BucketIDs() {
+	for _, id := range ids {
+		if _, ok := found[id]; ok {
+			continue
+		}
 		if b, held := k.buckets[id]; held {
 			found[id] = b
-		} else if _, ok := found[id]; !ok {
-			missing = append(missing, id)
+			continue
 		}
+		missing = append(missing, id)
 	}
 	k.mu.Unlock()
 	if len(missing) == 0 {
-		return found, nil
+		return nil
 	}
 	fetched, err := fetch(missing)
 	if err != nil {
-		return nil, fmt.Errorf("revision %d: fetch %d buckets: %w", root.Revision, len(missing), err)
+		return fmt.Errorf("fetch %d buckets: %w", len(missing), err)
 	}
 	for _, b := range fetched {
 		if err := b.Check(); err != nil {
-			return nil, fmt.Errorf("revision %d: %w", root.Revision, err)
+			return err
 		}
 		found[b.ID] = b
 	}
-	return found, nil
+	return nil
 }
 
-// fresh returns the buckets in force that before did not name, or none if they
-// are too many to be handed on.
-func (k *configKeeper) fresh(before *savoryconfig.Snapshot) []savoryconfig.Bucket {
-	now := k.snapshot()
-	if before == nil || now == nil {
-		return nil
+// since returns the steps from a revision to the one in force, or false if
+// they are not all kept.
+func (k *configKeeper) since(revision uint64) ([]savoryconfig.Step, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i, step := range k.steps {
+		if step.Delta.Base == revision {
+			return slices.Clone(k.steps[i:]), true
+		}
 	}
-	known := make(map[savoryconfig.BucketID]bool)
-	for _, id := range before.Root.BucketIDs() {
-		known[id] = true
+	return nil, false
+}
+
+// remember keeps the step from old to next; the lock is held.
+func (k *configKeeper) remember(old, next *savoryconfig.Root) {
+	delta, ok := savoryconfig.DeltaBetween(old, next)
+	if !ok {
+		k.steps = nil
+		return
 	}
-	var ids []savoryconfig.BucketID
-	for _, id := range now.Root.BucketIDs() {
-		if !known[id] {
-			ids = append(ids, id)
+	step := savoryconfig.Step{Delta: *delta}
+	for _, part := range delta.Sections {
+		for _, c := range part.Changed {
+			step.Buckets = append(step.Buckets, k.buckets[c.ID])
 		}
 	}
-	return k.held(ids)
+	k.steps = append(k.steps, step)
+	if len(k.steps) > stepsKept {
+		k.steps = k.steps[1:]
+	}
 }
 
 // held returns those of the buckets that the entry holds.
--- a/savoryentry/savorynode/configstore.go
+++ b/savoryentry/savorynode/configstore.go
@@ -84,7 +84,8 @@
 	authorize func(current *savoryconfig.Document) error
 }
 
-// accepted is the outcome of a submission.
+// accepted is the outcome of a submission: the root, and the buckets that it
+// brought.
 type accepted struct {
 	root    *savoryconfig.Root
 	buckets []savoryconfig.Bucket
@@ -170,7 +171,7 @@
 func (c *configStore) rehearse(ctx context.Context, next *savoryconfig.Root, change savoryconfig.Change, keeper *configKeeper) error {
 	var changed []savoryconfig.Bucket
 	for _, part := range change.Parts {
-		changed = append(changed, part.Buckets...)
+		changed = append(changed, part.Content()...)
 	}
 	_, err := c.assemble(ctx, next, changed, keeper)
 	return err
@@ -206,6 +207,7 @@
 		return new(savoryconfig.Document), nil
 	}
 	if s := keeper.snapshot(); s != nil && s.Revision() == stored.root.Revision {
+		stored.root.Sections = s.Root.Sections
 		return s.Document, nil
 	}
 	snapshot, err := c.assemble(ctx, stored.root, nil, keeper)
@@ -225,11 +227,11 @@
 			continue
 		}
 		whole.SetSection(section, s.document)
-		buckets, err := savoryconfig.SplitSection(s.document, section, root.Section(section).Buckets, s.id)
+		part, err := savoryconfig.NewPart(root, s.document, section, read, s.id)
 		if err != nil {
 			return change, savoryverdict.Invalid(string(section), "%v", err)
 		}
-		change.Parts = append(change.Parts, savoryconfig.Part{Section: section, Read: read, Buckets: buckets})
+		change.Parts = append(change.Parts, part)
 	}
 	if err := whole.Check(); err != nil {
 		return change, invalidDocument(err)
@@ -245,7 +247,7 @@
 	}
 	var fresh []savoryconfig.Bucket
 	for _, part := range change.Parts {
-		for _, b := range part.Buckets {
+		for _, b := range part.Content() {
 			if named[b.ID] {
 				continue
 			}
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,8 @@
 	draining *atomic.Bool
 	pool     *workerPool
 
+	// fetching is held while the configuration is fetched from a peer.
+	fetching sync.Mutex
 	// storeAt and peerAt are the times of the last contact, in Unix
 	// nanoseconds.
 	storeAt atomic.Int64
@@ -152,65 +155,69 @@
 // catchUp fetches from a peer what it has and this entry lacks.
 func (s *spreader) catchUp(ctx context.Context, hello *savorypeer.Hello) {
 	_, digest := s.tables.allMarks(s.now())
-	want := &savorypeer.Fetch{
-		Root:  hello.Revision > s.keeper.revision(),
-		Marks: hello.MarkDigest != digest,
+	if hello.MarkDigest != digest {
+		if state, err := s.peers.Fetch(ctx, hello.Address, &savorypeer.Fetch{Marks: true}); err == nil {
+			s.takeMarks(ctx, state.Marks)
+		}
 	}
-	if !want.Root && !want.Marks {
+	s.fetchConfig(ctx, hello.Revision, hello.Address)
+}
+
+// fetchConfig fetches the configuration from a peer that has a revision which
+// is newer than the one in force here. While a fetch is under way others are
+// left out; a heartbeat makes up for one that fails.
+func (s *spreader) fetchConfig(ctx context.Context, revision uint64, from netip.AddrPort) {
+	if revision <= s.keeper.revision() || !s.fetching.TryLock() {
 		return
 	}
-	state, err := s.peers.Fetch(ctx, hello.Address, want)
-	if err != nil {
+	defer s.fetching.Unlock()
+	since := s.keeper.revision()
+	if revision <= since {
 		return
 	}
-	s.takeMarks(ctx, state.Marks)
-	if len(state.Root) > 0 {
-		s.takeRoot(ctx, state.Root, nil, hello.Address)
-	}
-}
-
-// takeRoot puts a root from a peer in force and hands it on.
-func (s *spreader) takeRoot(ctx context.Context, body []byte, given []savoryconfig.Bucket, from netip.AddrPort) {
-	root, err := savoryconfig.DecodeRoot(body)
+	state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Config: true, Since: since})
 	if err != nil {
-		s.log.WithError(err).WithField("peer", from).Error("root refused")
 		return
 	}
-	s.putInForce(ctx, root, given, from)
+	fresh, err := s.takeState(ctx, state, from)
+	if err != nil {
+		s.log.WithError(err).WithField("peer", from).Error("revision refused")
+	}
+	if fresh {
+		s.offer(ctx, &savorypeer.Offer{Revision: s.keeper.revision()}, false)
+	}
 }
 
-// takeDelta puts the root that a delta from a peer leads to in force. If the
-// delta does not fit what is in force here, the whole root is fetched.
-func (s *spreader) takeDelta(ctx context.Context, delta *savoryconfig.Delta, given []savoryconfig.Bucket, from netip.AddrPort) {
-	revision := s.keeper.revision()
-	if delta.Base < revision {
-		return
-	}
-	if delta.Base == revision && revision > 0 {
-		root, err := delta.ApplyTo(s.keeper.snapshot().Root)
-		if err == nil {
-			s.putInForce(ctx, root, given, from)
-			return
+// takeState puts the configuration of a peer's answer in force and reports
+// whether it was news.
+func (s *spreader) takeState(ctx context.Context, state *savorypeer.State, from netip.AddrPort) (bool, error) {
+	source := "peer " + from.String()
+	fetch := s.fetchFromPeer(ctx, from)
+	news := false
+	for _, step := range state.Steps {
+		current := s.keeper.snapshot()
+		if current == nil || step.Delta.Base != current.Revision() {
+			break
+		}
+		root, manifests, err := step.Delta.ApplyTo(current.Root)
+		if err != nil {
+			return news, err
 		}
-		s.log.WithError(err).WithField("peer", from).Error("delta refused")
+		fresh, err := s.keeper.apply(root, append(manifests, step.Buckets...), fetch, source)
+		if err != nil {
+			return news, err
+		}
+		news = news || fresh
 	}
-	state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Root: true})
-	if err == nil && len(state.Root) > 0 {
-		s.takeRoot(ctx, state.Root, given, from)
+	if len(state.Root) == 0 {
+		return news, nil
 	}
-}
-
-// putInForce puts a root from a peer in force and hands it on.
-func (s *spreader) putInForce(ctx context.Context, root *savoryconfig.Root, given []savoryconfig.Bucket, from netip.AddrPort) {
-	before := s.keeper.snapshot()
-	fresh, err := s.keeper.apply(root, given, s.fetchFromPeer(ctx, from), "peer "+from.String())
+	root, err := savoryconfig.DecodeRoot(state.Root)
 	if err != nil {
-		s.log.WithError(err).WithField("peer", from).Error("revision refused")
-		return
-	}
-	if fresh {
-		s.offerRoot(ctx, before, root, given, false)
+		return news, err
 	}
+	fresh, err := s.keeper.apply(root, state.Buckets, fetch, source)
+	return news || fresh, err
 }
 
 // fetchFromPeer returns a fetcher that asks a peer in parts.
@@ -265,25 +272,9 @@
 	}
 }
 
-// offerRoot hands a root to peers: as a delta to the one in force before, if it
-// directly follows it.
-func (s *spreader) offerRoot(ctx context.Context, before *savoryconfig.Snapshot, root *savoryconfig.Root, buckets []savoryconfig.Bucket, origin bool) {
-	offer := &savorypeer.Offer{}
-	if len(buckets) <= savorypeer.MaxBuckets {
-		offer.Buckets = buckets
-	}
-	if before != nil {
-		offer.Delta, _ = savoryconfig.DeltaBetween(before.Root, root)
-	}
-	if offer.Delta == nil {
-		body, err := savoryconfig.EncodeRoot(root)
-		if err != nil {
-			s.log.WithError(err).Error("root not offered")
-			return
-		}
-		offer.Root = body
-	}
-	s.offer(ctx, offer, origin)
+// announceRevision tells all zones of the revision in force here.
+func (s *spreader) announceRevision(ctx context.Context) {
+	s.offer(ctx, &savorypeer.Offer{Revision: s.keeper.revision()}, true)
 }
 
 // offer hands news to the peers that are to have it. A peer that does not
@@ -318,11 +309,12 @@
 
 func (s *spreader) handleOffer(ctx context.Context, offer *savorypeer.Offer) (*savorypeer.Ack, error) {
 	s.takeMarks(ctx, offer.Marks)
-	if len(offer.Root) > 0 {
-		s.takeRoot(ctx, offer.Root, offer.Buckets, offer.From)
-	}
-	if offer.Delta != nil {
-		s.takeDelta(ctx, offer.Delta, offer.Buckets, offer.From)
+	if offer.Revision > s.keeper.revision() {
+		s.pool.submit(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.peers.Timeout)
+			defer cancel()
+			s.fetchConfig(ctx, offer.Revision, offer.From)
+		})
 	}
 	_, digest := s.tables.allMarks(s.now())
 	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest}, nil
@@ -330,12 +322,10 @@
 
 func (s *spreader) handleFetch(_ context.Context, fetch *savorypeer.Fetch) (*savorypeer.State, error) {
 	state := new(savorypeer.State)
-	if snapshot := s.keeper.snapshot(); fetch.Root && snapshot != nil {
-		body, err := savoryconfig.EncodeRoot(snapshot.Root)
-		if err != nil {
+	if fetch.Config {
+		if err := s.tellConfig(state, fetch.Since); err != nil {
 			return nil, err
 		}
-		state.Root = body
 	}
 	if fetch.Marks {
 		state.Marks, _ = s.tables.allMarks(s.now())
@@ -344,6 +334,24 @@
 	return state, nil
 }
 
+// tellConfig adds the way from a revision to the one in force.
+func (s *spreader) tellConfig(state *savorypeer.State, since uint64) error {
+	snapshot := s.keeper.snapshot()
+	if snapshot == nil || snapshot.Revision() <= since {
+		return nil
+	}
+	if steps, ok := s.keeper.since(since); ok {
+		state.Steps = steps
+		return nil
+	}
+	body, err := savoryconfig.EncodeRoot(snapshot.Root)
+	if err != nil {
+		return err
+	}
+	state.Root = body
+	return nil
+}
+
 // Following the store.
 
 // pollLoop reads the root from time to time: a watcher often, since it finds
@@ -386,14 +394,13 @@
 		s.log.WithFields(log.Fields{"stored": root.Revision, "revision": s.keeper.revision()}).Warn("the store shows an older revision; it is ignored")
 		return
 	}
-	before := s.keeper.snapshot()
 	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
 	if err != nil {
 		s.log.WithError(err).Error("revision refused")
 		return
 	}
 	if fresh {
-		s.offerRoot(ctx, before, root, s.keeper.fresh(before), true)
+		s.announceRevision(ctx)
 	}
 }
 
--- a/savorystand/savorylab/clock.go
+++ b/savorystand/savoryclock/clock.go
@@ -1,16 +1,18 @@
-package savorylab
-
-// This file defines the virtual clock and its queue of events.
+// Package savoryclock is a virtual clock with a queue of events, for
+// measurements that repeat exactly by their seed.
+package savoryclock
 
 import (
 	"container/heap"
 	"time"
 )
 
-// clock runs events in order of their time. Two runs with the same events run
+// Clock runs events in order of their time. Two runs with the same events run
 // them in the same order.
-type clock struct {
-	now    time.Time
+type Clock struct {
+	// Now is the current time.
+	Now time.Time
+
 	events eventHeap
 	count  uint64
 }
@@ -22,20 +24,20 @@
 	run func()
 }
 
-// after schedules run in d.
-func (c *clock) after(d time.Duration, run func()) {
+// After schedules run in d.
+func (c *Clock) After(d time.Duration, run func()) {
 	c.count++
-	heap.Push(&c.events, event{at: c.now.Add(d), seq: c.count, run: run})
+	heap.Push(&c.events, event{at: c.Now.Add(d), seq: c.count, run: run})
 }
 
-// runUntil runs the events up to end.
-func (c *clock) runUntil(end time.Time) {
+// RunUntil runs the events up to end.
+func (c *Clock) RunUntil(end time.Time) {
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
 		e, _ := heap.Pop(&c.events).(event)
-		c.now = e.at
+		c.Now = e.at
 		e.run()
 	}
-	c.now = end
+	c.Now = end
 }
 
 type eventHeap []event
--- /dev/null
+++ b/savorystand/savoryfleet/fleet_test.go
@@ -0,0 +1,77 @@
+package savoryfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// changeBound is the target: a change is in force everywhere within 6 s.
+const changeBound = 6 * time.Second
+
+func newFleet(n int, seed uint64) *Fleet {
+	f := &Fleet{Seed: seed, Nodes: n, Zones: 11, Buckets: 1600, ListLag: 30 * time.Second}
+	f.Start()
+	f.Run(5 * time.Second)
+	return f
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for _, n := range []int{1, 3, 7, 40, 200} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d nodes seed %d", n, seed), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(n, seed)
+				revision := f.Change(n / 2)
+				f.Run(changeBound)
+				_, everywhere := f.Spread(revision)
+				is.True(everywhere)
+			})
+		}
+	}
+}
+
+// A tenth of the fleet and the watchers' zone die just before the change, and
+// the VM list does not show it yet.
+func TestChangeSurvivesDeaths(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(200, 1)
+	f.Kill(func(index, zone int) bool { return zone == 2 || index%10 == 3 })
+	revision := f.Change(0)
+	f.Run(changeBound)
+	is.Equal(f.Missing(revision), 0)
+}
+
+// The store goes out right after a change was accepted.
+func TestChangeSurvivesStoreOutage(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(200, 2)
+	f.SetStoreOut(true)
+	revision := f.Change(5)
+	f.Run(changeBound)
+	is.Equal(f.Missing(revision), 0)
+}
+
+// Regions lose each other for an hour: a change is in force at every entry that
+// is connected, and everywhere within the bound once the link is back.
+func TestChangeCrossesHealedLink(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(110, 3)
+	f.CutRegion("region-2", true)
+	revision := f.Change(0)
+	f.Run(changeBound)
+	cutOff := 0
+	for i := range f.Nodes {
+		if i%11 >= 8 {
+			cutOff++
+		}
+	}
+	is.Equal(f.Missing(revision), cutOff)
+	f.Run(time.Hour)
+	is.Equal(f.Missing(revision), cutOff)
+	f.CutRegion("region-2", false)
+	f.Run(changeBound)
+	is.Equal(f.Missing(revision), 0)
+}
--- a/savorystand/savorylab/engine.go
+++ b/savorystand/savorylab/engine.go
@@ -5,6 +5,7 @@
 import (
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savorystand/savoryclock"
 )
 
 // engine runs work in steps. Each step takes the waiting tokens of running
@@ -13,7 +14,7 @@
 type engine struct {
 	server      savoryworld.BackendServer
 	accelerator savoryworld.Accelerator
-	clock       *clock
+	clock       *savoryclock.Clock
 
 	decode  []*work
 	prompts []*work
@@ -86,7 +87,7 @@
 	e.busy = true
 	e.ran += int64(tokens)
 	step := e.accelerator.StepTime(e.server.Layers.Count(), tokens)
-	e.clock.after(stretch(step, e.slow), func() { e.end(finished) })
+	e.clock.After(stretch(step, e.slow), func() { e.end(finished) })
 }
 
 func (e *engine) end(finished []*work) {
@@ -106,7 +107,7 @@
 	for _, w := range e.prompts {
 		queued += w.left
 	}
-	return savoryengine.Load{Server: e.server.Name, At: e.clock.now, Running: e.sequences, Queued: queued}
+	return savoryengine.Load{Server: e.server.Name, At: e.clock.Now, Running: e.sequences, Queued: queued}
 }
 
 // prefixCache holds the prefixes that an engine has cached, oldest first.
--- a/savorystand/savorylab/lab.go
+++ b/savorystand/savorylab/lab.go
@@ -24,6 +24,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savorystand/savoryclock"
 )
 
 const (
@@ -68,7 +69,7 @@
 	// sends; the others come from smallCustomers small ones.
 	Large float64
 
-	clock    clock
+	clock    savoryclock.Clock
 	rand     *rand.Rand
 	snapshot *savoryconfig.Snapshot
 	engines  map[string]*engine
@@ -142,17 +143,17 @@
 	l.result = Result{Policy: l.Policy, Load: l.Load, Bound: l.bound()}
 	perRequest := float64(l.PromptTokens + l.AnswerTokens)
 	rate := l.Load * l.result.Bound / perRequest
-	l.begin = l.clock.now.Add(l.Warm)
+	l.begin = l.clock.Now.Add(l.Warm)
 	l.end = l.begin.Add(l.Time)
 	l.arrive(rate)
-	l.clock.runUntil(l.end)
+	l.clock.RunUntil(l.end)
 	return l.summary()
 }
 
 // build makes engines, links and entries.
 func (l *Lab) build() {
 	l.rand = rand.New(rand.NewPCG(l.Seed, 2))
-	l.clock.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l.clock.Now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	doc := l.document()
 	l.snapshot = savoryconfig.NewSnapshot(&savoryconfig.Root{Revision: 1}, doc)
 	l.engines = make(map[string]*engine)
@@ -231,7 +232,7 @@
 // arrive lets requests arrive at a rate, at random entries.
 func (l *Lab) arrive(rate float64) {
 	gap := time.Duration(l.rand.ExpFloat64() / rate * float64(time.Second))
-	l.clock.after(gap, func() {
+	l.clock.After(gap, func() {
 		l.admit(l.newRequest())
 		l.arrive(rate)
 	})
@@ -242,7 +243,7 @@
 		chooser: l.choosers[l.rand.IntN(len(l.choosers))],
 		prompt:  2 + int(l.rand.Float64()*2*float64(l.PromptTokens-2)),
 		answer:  1 + int(l.rand.Float64()*2*float64(l.AnswerTokens-1)),
-		arrived: l.clock.now, lastAt: l.clock.now, priority: 1,
+		arrived: l.clock.Now, lastAt: l.clock.Now, priority: 1,
 	}
 	if l.Prefixes > 0 {
 		r.prompt += l.PrefixTokens
@@ -267,7 +268,7 @@
 	choice, err := r.chooser.choose(savorychain.Request{
 		Pipeline: pipeline, PromptTokens: r.prompt, AnswerTokens: r.answer, Prefix: l.hint(r), PrefixTokens: l.PrefixTokens,
 		Patience: r.chooser.fairness.Patience(r.customer),
-	}, l.clock.now)
+	}, l.clock.Now)
 	if err != nil {
 		if l.measured(r.arrived) {
 			l.result.refused++
@@ -282,11 +283,11 @@
 		r.priority = 0
 	}
 	r.chooser.fairness.Begin(r.customer, 1)
-	r.flight = r.chooser.sent(choice, r.prompt, l.clock.now)
+	r.flight = r.chooser.sent(choice, r.prompt, l.clock.Now)
 	for _, hop := range r.chain {
 		l.engines[hop.Server].sequences++
 	}
-	l.clock.after(l.delay(r, -1, 0), func() { l.stage(r, 0, r.prompt) })
+	l.clock.After(l.delay(r, -1, 0), func() { l.stage(r, 0, r.prompt) })
 }
 
 // hint returns the prefix that the policy may see.
@@ -311,10 +312,10 @@
 	e.add(&work{left: left, priority: r.priority, done: func() {
 		next := position + 1
 		if next < len(r.chain) {
-			l.clock.after(l.delay(r, position, left), func() { l.stage(r, next, tokens) })
+			l.clock.After(l.delay(r, position, left), func() { l.stage(r, next, tokens) })
 			return
 		}
-		l.clock.after(l.delay(r, position, 0), func() { l.token(r) })
+		l.clock.After(l.delay(r, position, 0), func() { l.token(r) })
 	}})
 }
 
@@ -338,7 +339,7 @@
 
 // token is called when a token is back at the first stage.
 func (l *Lab) token(r *request) {
-	now := l.clock.now
+	now := l.clock.Now
 	gap := now.Sub(r.lastAt)
 	r.lastAt = now
 	if r.tokens == 0 {
@@ -376,7 +377,7 @@
 			l.small = append(l.small, r.first)
 		}
 	}
-	if !l.measured(l.clock.now) {
+	if !l.measured(l.clock.Now) {
 		return
 	}
 	tokens := int64(r.prompt + r.answer)
--- /dev/null
+++ b/savorystand/slopes.go
@@ -0,0 +1,394 @@
+package main
+
+// This file defines the measurement of slopes for docs/CAPACITY.md.
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"savorycart.example/savorycore/savorychain"
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savorystand/savoryfleet"
+	"savorycart.example/savorystand/savorysite"
+	"savorycart.example/savorystand/savoryslope"
+)
+
+// The sizes of the target.
+const (
+	targetNodes     = 860
+	targetZones     = 11
+	targetWorkers   = 7200
+	targetCustomers = 3200
+	targetModels    = 8
+	// targetBuckets is the number of buckets of the target's document.
+	targetBuckets = 2048
+	// targetHot is the number of customers that one entry serves in a second.
+	targetHot = 46
+)
+
+// repeat is the number of times that a short piece of work is timed.
+const repeat = 2000
+
+// runSlopes measures all series and prints them.
+func runSlopes(real time.Duration) error {
+	var series []*savoryslope.Series
+	for _, measure := range []func() ([]*savoryslope.Series, error){
+		measureDocument, measureDecision, measureLimits, measureFleet,
+		func() ([]*savoryslope.Series, error) { return measureNodes(real) },
+	} {
+		more, err := measure()
+		if err != nil {
+			return err
+		}
+		series = append(series, more...)
+	}
+	return savoryslope.Print(os.Stdout, series)
+}
+
+// largeDocument returns a document with workers and customers spread over the
+// target's zones and models.
+func largeDocument(workers, customers int) *savoryconfig.Document {
+	const layers, stages = 48, 3
+	doc := &savoryconfig.Document{Accelerators: []savoryworld.Accelerator{}}
+	for i := range 7 {
+		doc.Accelerators = append(doc.Accelerators, savoryworld.Accelerator{
+			Name: fmt.Sprintf("kind-%d", i), StepBase: savoryworld.Duration(time.Duration(100+50*i) * time.Microsecond),
+			StepToken: savoryworld.Duration(time.Duration(2+i) * time.Microsecond), MaxTokens: 256 >> (i / 3),
+		})
+	}
+	for i := range targetZones {
+		doc.Zones = append(doc.Zones, savoryworld.AvailabilityZone{Name: zoneName(i), Region: fmt.Sprintf("region-%d", i/4)})
+	}
+	team := savoryworld.Team{Name: "all", TokenSHA256: savorysite.Digest("all")}
+	for _, s := range savoryconfig.Sections() {
+		team.Sections = append(team.Sections, string(s))
+	}
+	doc.Teams = []savoryworld.Team{team}
+	for i := range targetModels {
+		model := fmt.Sprintf("model-%d", i)
+		doc.Pipelines = append(doc.Pipelines, savoryworld.Pipeline{
+			Name: model, Model: model, Version: "v1", Layers: layers, ActivationBytes: 16 << 10,
+			FirstToken: savoryworld.Duration(770 * time.Millisecond), BetweenTokens: savoryworld.Duration(72 * time.Millisecond), MaxTokens: 4096,
+		})
+	}
+	for i := range workers {
+		stage := i / targetModels % stages
+		doc.BackendServers = append(doc.BackendServers, savoryworld.BackendServer{
+			Name:    fmt.Sprintf("worker-%05d", i),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 250), byte(1 + i%250)}), 6000),
+			Zone:    zoneName(i % targetZones), Model: fmt.Sprintf("model-%d", i%targetModels), Version: "v1",
+			Layers:      savoryworld.LayerRange{From: stage * layers / stages, To: (stage + 1) * layers / stages},
+			Accelerator: doc.Accelerators[i%len(doc.Accelerators)].Name,
+		})
+	}
+	for i := range customers {
+		doc.Customers = append(doc.Customers, savoryworld.Customer{
+			Name: fmt.Sprintf("customer-%04d", i), KeySHA256: []string{savorysite.Digest(fmt.Sprint("key", i))},
+			HomeRegion: "region-0", Pipelines: []string{"model-0", "model-1"},
+			Contract: savoryworld.Contract{RequestsPerSecond: 20, TokensPerSecond: 8000, Concurrency: 50},
+		})
+	}
+	return doc
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%02d", i) }
+
+// assembled is a document as an entry holds it.
+type assembled struct {
+	root     *savoryconfig.Root
+	buckets  map[savoryconfig.BucketID]savoryconfig.Bucket
+	snapshot *savoryconfig.Snapshot
+}
+
+func assemble(doc *savoryconfig.Document) (*assembled, error) {
+	a := &assembled{buckets: make(map[savoryconfig.BucketID]savoryconfig.Bucket)}
+	change := savoryconfig.Change{Submission: "slopes"}
+	for _, s := range savoryconfig.Sections() {
+		part, err := savoryconfig.NewPart(new(savoryconfig.Root), doc, s, 0, "slopes")
+		if err != nil {
+			return nil, err
+		}
+		for _, b := range part.Content() {
+			a.buckets[b.ID] = b
+		}
+		change.Parts = append(change.Parts, part)
+	}
+	var err error
+	if a.root, err = new(savoryconfig.Root).Apply(change, time.Now()); err != nil {
+		return nil, err
+	}
+	return a, a.build()
+}
+
+// build assembles the snapshot from the buckets, as an entry does.
+func (a *assembled) build() error {
+	var err error
+	a.snapshot, err = savoryconfig.Assemble(a.root, func(id savoryconfig.BucketID) (savoryconfig.Bucket, bool) {
+		b, ok := a.buckets[id]
+		return b, ok
+	})
+	return err
+}
+
+// measureDocument measures what a document costs an entry.
+func measureDocument() ([]*savoryslope.Series, error) {
+	memory := &savoryslope.Series{Name: "configuration held", Unit: "MB", Per: "records", Target: targetWorkers + targetCustomers}
+	apply := &savoryslope.Series{Name: "revision put in force", Unit: "ms CPU", Per: "records", Target: targetWorkers + targetCustomers}
+	root := &savoryslope.Series{Name: "encoded root", Unit: "bytes", Per: "records", Target: targetWorkers + targetCustomers}
+	for _, part := range []int{16, 8, 4, 2, 1} {
+		workers, customers := targetWorkers/part, targetCustomers/part
+		records := float64(workers + customers)
+		before := heap()
+		a, err := assemble(largeDocument(workers, customers))
+		if err != nil {
+			return nil, err
+		}
+		table := newTable(a.snapshot)
+		memory.Add(records, float64(heap()-before)/1e6)
+		spent := cpu()
+		for range 10 {
+			if err := a.build(); err != nil {
+				return nil, err
+			}
+			table.Load(a.snapshot)
+		}
+		apply.Add(records, (cpu()-spent).Seconds()*1e3/10)
+		body, err := savoryconfig.EncodeRoot(a.root)
+		if err != nil {
+			return nil, err
+		}
+		root.Add(records, float64(len(body)))
+		runtime.KeepAlive(table)
+		runtime.KeepAlive(a)
+	}
+	return []*savoryslope.Series{memory, apply, root}, nil
+}
+
+func newTable(s *savoryconfig.Snapshot) *savorychain.Table {
+	t := &savorychain.Table{
+		Entry: "10.0.0.1:7081", Zone: zoneName(0), Rand: rand.New(rand.NewPCG(1, 2)),
+		Sample: savorychain.DefaultSample, Subset: savorychain.DefaultSubset,
+	}
+	t.Load(s)
+	return t
+}
+
+// measureDecision measures the choice of a chain against the workers.
+func measureDecision() ([]*savoryslope.Series, error) {
+	took := &savoryslope.Series{Name: "choice of a chain", Unit: "µs CPU", Per: "workers", Target: targetWorkers}
+	allocations := &savoryslope.Series{Name: "choice of a chain", Unit: "allocations", Per: "workers", Target: targetWorkers}
+	for _, workers := range []int{450, 900, 1800, 3600, 7200} {
+		a, err := assemble(largeDocument(workers, 10))
+		if err != nil {
+			return nil, err
+		}
+		table := newTable(a.snapshot)
+		now := time.Unix(1000, 0)
+		req := savorychain.Request{Pipeline: a.snapshot.Pipeline("model-0"), PromptTokens: 200, AnswerTokens: 325}
+		work := func() error {
+			choice, err := table.Choose(req, now)
+			if err != nil {
+				return err
+			}
+			flight := table.Sent(choice, req.PromptTokens, now)
+			table.Report(savoryengine.Load{Server: choice.Chain[0].Server}, now)
+			table.Finished(flight)
+			return nil
+		}
+		us, allocs, err := timed(work)
+		if err != nil {
+			return nil, err
+		}
+		took.Add(float64(workers), us)
+		allocations.Add(float64(workers), allocs)
+	}
+	return []*savoryslope.Series{took, allocations}, nil
+}
+
+// measureLimits measures admission against customers, and an announcement
+// against the customers that are in use at an entry.
+func measureLimits() ([]*savoryslope.Series, error) {
+	admit := &savoryslope.Series{Name: "admission", Unit: "µs CPU", Per: "customers", Target: targetCustomers}
+	announce := &savoryslope.Series{Name: "announcement", Unit: "µs CPU", Per: "customers in use", Target: targetHot}
+	for _, n := range []int{100, 400, 1600, 3200} {
+		limiter := &savorylimit.Limiter{Entry: "e"}
+		limiter.SetEntries([]string{"e", "f", "g"})
+		customers := largeDocument(0, n).Customers
+		now := time.Unix(1000, 0)
+		i := 0
+		us, _, err := timed(func() error {
+			i++
+			now = now.Add(time.Millisecond)
+			c := &customers[i%len(customers)]
+			if limiter.Admit(c, 500, now) == nil {
+				limiter.Done(c.Name, 0)
+			}
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		admit.Add(float64(n), us)
+	}
+	for _, n := range []int{10, 100, 400, 1600} {
+		limiter := &savorylimit.Limiter{Entry: "e"}
+		now := time.Unix(1000, 0)
+		for _, c := range largeDocument(0, n).Customers {
+			_ = limiter.Admit(&c, 1, now)
+		}
+		us, _, err := timed(func() error {
+			limiter.Announce(now)
+			return nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		announce.Add(float64(n), us)
+	}
+	return []*savoryslope.Series{admit, announce}, nil
+}
+
+// measureFleet measures spreading in virtual time up to the target's size.
+func measureFleet() ([]*savoryslope.Series, error) {
+	spread := &savoryslope.Series{Name: "change in force everywhere (virtual)", Unit: "s", Per: "nodes", Target: targetNodes}
+	idle := &savoryslope.Series{Name: "heartbeats of a node (virtual)", Unit: "bytes/s", Per: "nodes", Target: targetNodes}
+	changed := &savoryslope.Series{Name: "one change at a node (virtual)", Unit: "bytes", Per: "nodes", Target: targetNodes}
+	worst := &savoryslope.Series{Name: "busiest node, a change each 15 s (virtual)", Unit: "bytes/s", Per: "nodes", Target: targetNodes}
+	reads := &savoryslope.Series{Name: "store reads (virtual)", Unit: "reads/s", Per: "nodes", Target: targetNodes}
+	watches := &savoryslope.Series{Name: "store watches (virtual)", Unit: "watches", Per: "nodes", Target: targetNodes}
+	const quiet, changes, gap = 60 * time.Second, 4, 15 * time.Second
+	for _, n := range []int{22, 55, 110, 215, 430, 860} {
+		f := &savoryfleet.Fleet{Seed: 1, Nodes: n, Zones: targetZones, Buckets: targetBuckets, ListLag: 30 * time.Second}
+		f.Start()
+		f.Run(10 * time.Second)
+		f.ResetTraffic()
+		f.Run(quiet)
+		before := f.Traffic(quiet)
+		calls := f.StoreCalls()
+		f.ResetTraffic()
+		slowest := time.Duration(0)
+		for i := range changes {
+			revision := f.Change((i * 37) % n)
+			f.Run(gap)
+			took, everywhere := f.Spread(revision)
+			if !everywhere {
+				return nil, fmt.Errorf("fleet of %d nodes: revision %d is not in force everywhere after %s", n, revision, gap)
+			}
+			slowest = max(slowest, took)
+		}
+		after := f.Traffic(changes * gap)
+		x := float64(n)
+		spread.Add(x, slowest.Seconds())
+		idle.Add(x, before.MeanBytes)
+		changed.Add(x, (after.MeanBytes-before.MeanBytes)*gap.Seconds())
+		worst.Add(x, after.MostBytes)
+		reads.Add(x, float64(calls.Reads)/quiet.Seconds())
+		watches.Add(x, float64(calls.Watches))
+	}
+	return []*savoryslope.Series{spread, idle, changed, worst, reads, watches}, nil
+}
+
+// measureNodes measures real entries in one process over loopback.
+func measureNodes(length time.Duration) ([]*savoryslope.Series, error) {
+	spent := &savoryslope.Series{Name: "idle entry", Unit: "% of a core", Per: "nodes", Target: targetNodes}
+	memory := &savoryslope.Series{Name: "idle entry", Unit: "MB", Per: "nodes", Target: targetNodes}
+	bytes := &savoryslope.Series{Name: "idle entry, payload", Unit: "bytes/s", Per: "nodes", Target: targetNodes}
+	changed := &savoryslope.Series{Name: "change in force everywhere", Unit: "ms", Per: "nodes", Target: targetNodes}
+	for _, n := range []int{3, 7, 14, 28, 56} {
+		before := heap()
+		site := &savorysite.Site{Entries: n, EnginesPerStage: 3, ServiceServers: 1, Log: savorylog.Discard()}
+		if err := site.Start(); err != nil {
+			site.Stop()
+			return nil, err
+		}
+		err := measureSite(site, n, length, before, []*savoryslope.Series{spent, memory, bytes, changed})
+		site.Stop()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return []*savoryslope.Series{spent, memory, bytes, changed}, nil
+}
+
+// measureSite adds a point of a running site to the series: processor time,
+// memory, bytes and the time of a change.
+func measureSite(site *savorysite.Site, n int, length time.Duration, before uint64, series []*savoryslope.Series) error {
+	time.Sleep(length / 2)
+	sent := peerBytes(site)
+	spent := cpu()
+	time.Sleep(length)
+	nodes := float64(n)
+	series[0].Add(nodes, 100*(cpu()-spent).Seconds()/length.Seconds()/nodes)
+	series[1].Add(nodes, float64(heap()-before)/1e6/nodes)
+	series[2].Add(nodes, (peerBytes(site)-sent)/length.Seconds()/nodes)
+	doc := *site.Document
+	doc.Customers = append([]savoryworld.Customer(nil), doc.Customers...)
+	doc.Customers[0].Contract.Concurrency++
+	begun := time.Now()
+	revision, err := site.Nodes[0].Submit(context.Background(), savoryconfig.Customers, "desk", 1, &doc)
+	if err != nil {
+		return err
+	}
+	if err := site.WaitRevision(revision); err != nil {
+		return err
+	}
+	series[3].Add(nodes, time.Since(begun).Seconds()*1e3)
+	return nil
+}
+
+// peerBytes returns the bytes that all entries sent and received as callers of
+// other entries; the other ends count the same bytes again.
+func peerBytes(site *savorysite.Site) float64 {
+	total := 0.0
+	for _, e := range site.Nodes {
+		status, err := e.Operator("").Status(context.Background())
+		if err == nil {
+			total += 2 * float64(status.Traffic.SentBytes+status.Traffic.ReceivedBytes)
+		}
+	}
+	return total
+}
+
+// timed returns the processor time in microseconds and the allocations of one
+// call of work.
+func timed(work func() error) (float64, float64, error) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	begun := time.Now()
+	for range repeat {
+		if err := work(); err != nil {
+			return 0, 0, err
+		}
+	}
+	took := time.Since(begun)
+	runtime.ReadMemStats(&after)
+	return took.Seconds() * 1e6 / repeat, float64(after.Mallocs-before.Mallocs) / repeat, nil
+}
+
+// heap returns the bytes of the heap and stacks in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// cpu returns the processor time of the process so far.
+func cpu() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
