Keep heartbeats among neighbours and recover from silent zones

Cause: (1) in a large fleet each heartbeat opened a connection to another random entry, which with mutual TLS would cost more than the heartbeat; (2) when a zone went silent 15 of 60 answers failed: after two stalled chains every server was avoided, and the last fallback forgot what was suspected.

--- a/savorycore/savorychain/choose.go
+++ b/savorycore/savorychain/choose.go
@@ -3,6 +3,7 @@
 // This file defines Choose, the decision for one request.
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -49,6 +50,12 @@
 	PrefixTokens int
 	// Avoid lists servers that already failed this request.
 	Avoid []string
+	// Doubt lists servers of chains that made no progress for this request; at
+	// least one of each chain failed it.
+	Doubt []string
+	// Holds lists servers that still hold the state of an earlier attempt; they
+	// need not run the prompt again.
+	Holds []string
 	// Patience is the part of the bound on the first token up to which the
 	// request is admitted; 0 means all of it.
 	Patience float64
@@ -96,6 +103,8 @@
 	arrive  time.Duration
 	prompt  time.Duration
 	between time.Duration
+	// penalty counts against the chain but is no time.
+	penalty time.Duration
 }
 
 // answerWeight is the weight of the time from the first token to the last
@@ -104,19 +113,27 @@
 // ending sooner, while one that waits behind others loses its first token.
 const answerWeight = 0.25
 
+// Penalties order servers that failed: one that does not answer at all goes
+// last, one that was merely part of a stalled chain goes first.
+const (
+	suspectPenalty = 100 * time.Second
+	avoidPenalty   = 30 * time.Second
+	doubtPenalty   = 10 * time.Second
+)
+
 // cost is what Choose makes least: the time to the first token, and at a lower
 // weight the time from there until the answer is whole.
 func (p *path) cost(answerTokens int) time.Duration {
 	answer := float64(answerTokens) * float64(p.between)
-	return p.prompt + time.Duration(answerWeight*answer)
+	return p.prompt + time.Duration(answerWeight*answer) + p.penalty
 }
 
 // Choose returns the best chain for req at now, or ErrNoChain, or an
 // *OverloadError if no chain would give the first token in time. Engines that
-// are leaving are never chosen; suspected and avoided ones only if no chain
-// exists without them.
+// are leaving are never chosen; suspected, avoided and doubted ones only where
+// a stage has no other.
 func (t *Table) Choose(req Request, now time.Time) (Choice, error) {
-	choice, err := t.chooseAny(req, now)
+	choice, err := t.choose(req, now)
 	if err != nil {
 		return Choice{}, err
 	}
@@ -128,23 +145,7 @@
 	return choice, nil
 }
 
-func (t *Table) chooseAny(req Request, now time.Time) (Choice, error) {
-	usable := func(s *serverState) bool {
-		return !s.leaves() && !s.suspect(now) && !slices.Contains(req.Avoid, s.server.Name)
-	}
-	choice, err := t.choose(req, now, usable)
-	if err == nil {
-		return choice, nil
-	}
-	// Suspicion may be wrong: a chain through a suspect beats none.
-	fallback := func(s *serverState) bool { return !s.leaves() && !slices.Contains(req.Avoid, s.server.Name) }
-	if choice, err = t.choose(req, now, fallback); err == nil {
-		return choice, nil
-	}
-	return t.choose(req, now, func(s *serverState) bool { return !s.leaves() })
-}
-
-func (t *Table) choose(req Request, now time.Time, usable func(*serverState) bool) (Choice, error) {
+func (t *Table) choose(req Request, now time.Time) (Choice, error) {
 	// ends holds the partial chains by the layer at which they end.
 	ends := map[int][]*path{}
 	looked := 0
@@ -152,7 +153,7 @@
 		if g.layers.From != 0 && len(ends[g.layers.From]) == 0 {
 			continue
 		}
-		for _, s := range t.candidates(g, req.Prefix, usable) {
+		for _, s := range t.candidates(g, req, now) {
 			looked++
 			p := t.extend(ends[g.layers.From], s, req, now)
 			ends[g.layers.To] = append(ends[g.layers.To], p)
@@ -162,10 +163,13 @@
 	if len(whole) == 0 {
 		return Choice{}, fmt.Errorf("pipeline %s: %w", req.Pipeline.Name, ErrNoChain)
 	}
+	for i, p := range whole {
+		whole[i] = t.finished(p)
+	}
 	slices.SortStableFunc(whole, func(a, b *path) int {
-		return int(t.finished(a).cost(req.AnswerTokens) - t.finished(b).cost(req.AnswerTokens))
+		return cmp.Compare(a.cost(req.AnswerTokens), b.cost(req.AnswerTokens))
 	})
-	best := t.finished(whole[0])
+	best := whole[0]
 	choice := Choice{
 		Chain: best.hops(), FirstToken: best.prompt, BetweenTokens: best.between,
 		Looked: looked, arrive: best.arrivals(),
@@ -176,31 +180,59 @@
 	return choice, nil
 }
 
-// candidates returns the members of g that are weighed: a random sample, and
-// the engines that entries send the prefix to by preference.
-func (t *Table) candidates(g *group, prefix uint64, usable func(*serverState) bool) []*serverState {
-	picked := t.sample(g, usable)
-	if prefix == 0 {
-		return picked
+// penalty returns what counts against a server beyond its times.
+func (s *serverState) penalty(req *Request, now time.Time) time.Duration {
+	p := time.Duration(0)
+	if s.suspect(now) {
+		p += suspectPenalty
+	}
+	if slices.Contains(req.Avoid, s.server.Name) {
+		p += avoidPenalty
+	}
+	if slices.Contains(req.Doubt, s.server.Name) {
+		p += doubtPenalty
+	}
+	return p
+}
+
+// candidates returns the members of g that are weighed: a random sample, the
+// engines that hold the request's state, and those that entries send the prefix
+// to by preference.
+func (t *Table) candidates(g *group, req Request, now time.Time) []*serverState {
+	good := func(s *serverState) bool { return !s.leaves() && s.penalty(&req, now) == 0 }
+	picked := t.sample(g, good)
+	if len(picked) == 0 {
+		return t.sample(g, func(s *serverState) bool { return !s.leaves() })
 	}
-	key := strconv.FormatUint(prefix, 16)
-	home := savoryhash.Top(key, g.members, func(s *serverState) string { return s.server.Name }, prefixHomes)
-	for _, s := range home {
-		if usable(s) && !slices.Contains(picked, s) {
+	add := func(s *serverState) {
+		if good(s) && !slices.Contains(picked, s) {
 			picked = append(picked, s)
 		}
 	}
+	for _, name := range req.Holds {
+		if s := t.states[name]; s != nil && s.server.Layers == g.layers && slices.Contains(g.members, s) {
+			add(s)
+		}
+	}
+	if req.Prefix == 0 {
+		return picked
+	}
+	key := strconv.FormatUint(req.Prefix, 16)
+	for _, s := range savoryhash.Top(key, g.members, func(s *serverState) string { return s.server.Name }, prefixHomes) {
+		add(s)
+	}
 	return picked
 }
 
-// sample returns up to t.Sample usable members of g, picked at random.
+// sample returns up to t.Sample members of g that usable accepts, picked at
+// random.
 func (t *Table) sample(g *group, usable func(*serverState) bool) []*serverState {
 	picked := make([]*serverState, 0, t.Sample)
 	start := 0
 	if len(g.members) > 0 {
 		start = t.Rand.IntN(len(g.members))
 	}
-	// A random start with a random odd stride visits members in an order that
+	// A random start with a random stride visits members in an order that
 	// differs from choice to choice without shuffling the group.
 	stride := t.stride(len(g.members))
 	for i := range g.members {
@@ -239,16 +271,13 @@
 // extend returns the best of the partial chains with s added at its end.
 func (t *Table) extend(before []*path, s *serverState, req Request, now time.Time) *path {
 	load := s.load(now)
-	tokens := req.PromptTokens
-	if t.prefixes.holds(req.Prefix, s.server.Name) {
-		tokens = max(1, tokens-req.PrefixTokens)
-	}
+	tokens := t.promptLeft(s, req)
 	prompt := s.promptTime(load, tokens, req.Pipeline.Layers)
 	between := s.tokenTime(load, req.Pipeline.Layers)
+	penalty := s.penalty(&req, now)
 	if len(before) == 0 {
-		link := t.snapshot.Link(t.Zone, s.server.Zone)
-		arrive := link.Delay.D()
-		return &path{state: s, arrive: arrive, prompt: arrive + prompt, between: between}
+		arrive := t.snapshot.Link(t.Zone, s.server.Zone).Delay.D()
+		return &path{state: s, arrive: arrive, prompt: arrive + prompt, between: between, penalty: penalty}
 	}
 	var best *path
 	for _, b := range before {
@@ -260,6 +289,7 @@
 			arrive:  arrive,
 			prompt:  arrive + prompt,
 			between: b.between + between + transferTime(link, req.Pipeline.ActivationBytes, 1),
+			penalty: b.penalty + penalty,
 		}
 		if best == nil || p.cost(req.AnswerTokens) < best.cost(req.AnswerTokens) {
 			best = p
@@ -268,6 +298,19 @@
 	return best
 }
 
+// promptLeft returns the number of prompt tokens that an engine is expected to
+// run for req.
+func (t *Table) promptLeft(s *serverState, req Request) int {
+	switch {
+	case slices.Contains(req.Holds, s.server.Name):
+		return 1
+	case t.prefixes.holds(req.Prefix, s.server.Name):
+		return max(1, req.PromptTokens-req.PrefixTokens)
+	default:
+		return req.PromptTokens
+	}
+}
+
 // finished adds the way of each token from the last stage to the first, and
 // from there to the entry.
 func (t *Table) finished(p *path) *path {
--- a/savorycore/savorylimit/limiter_test.go
+++ b/savorycore/savorylimit/limiter_test.go
@@ -31,13 +31,16 @@
 	labStep  = 5 * time.Millisecond
 	labRate  = 100
 	announce = time.Second
+	// labEntries is the number of entries, labWindow the time of a run.
+	labEntries = 7
+	labWindow  = 10 * time.Second
 )
 
 var contract = &savoryworld.Customer{Name: "c", Contract: savoryworld.Contract{RequestsPerSecond: labRate}}
 
-func newLab(n int) *lab {
-	l := &lab{now: time.Unix(1000, 0), delay: 200 * time.Millisecond, side: make([]int, n)}
-	for i := range n {
+func newLab() *lab {
+	l := &lab{now: time.Unix(1000, 0), delay: 200 * time.Millisecond, side: make([]int, labEntries)}
+	for i := range labEntries {
 		l.limiters = append(l.limiters, &Limiter{Entry: fmt.Sprint("e", i)})
 	}
 	l.list()
@@ -54,12 +57,12 @@
 	}
 }
 
-// run offers rate(entry) requests per second for a time and returns how many
+// run offers rate(entry) requests per second for labWindow and returns how many
 // were admitted.
-func (l *lab) run(d time.Duration, rate func(entry int) float64) int {
+func (l *lab) run(rate func(entry int) float64) int {
 	admitted := 0
 	due := make([]float64, len(l.limiters))
-	end := l.now.Add(d)
+	end := l.now.Add(labWindow)
 	for l.now.Before(end) {
 		l.now = l.now.Add(labStep)
 		l.spread()
@@ -100,9 +103,8 @@
 // than one contract and a half over ten seconds, and at least six tenths where
 // the demand has moved.
 func TestContractOverEntries(t *testing.T) {
-	const entries, window = 7, 10 * time.Second
-	full := labRate * window.Seconds()
-	even := func(int) float64 { return 3 * labRate / entries }
+	full := labRate * labWindow.Seconds()
+	even := func(int) float64 { return 3 * labRate / labEntries }
 	one := func(i int) float64 {
 		if i == 0 {
 			return 3 * labRate
@@ -117,66 +119,66 @@
 	}
 	t.Run("even", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, even)
-		got := float64(l.run(window, even))
+		l := newLab()
+		l.run(even)
+		got := float64(l.run(even))
 		is.True(got <= 1.02*full)
 		is.True(got >= 0.9*full)
 	})
 	t.Run("all on one entry", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, one)
-		got := float64(l.run(window, one))
+		l := newLab()
+		l.run(one)
+		got := float64(l.run(one))
 		is.True(got <= 1.02*full)
 		is.True(got >= 0.9*full)
 	})
 	t.Run("moving", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, one)
-		got := float64(l.run(window, other))
+		l := newLab()
+		l.run(one)
+		got := float64(l.run(other))
 		is.True(got <= 1.5*full)
 		is.True(got >= 0.6*full)
 	})
 	t.Run("from nothing", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		got := float64(l.run(window, even))
+		l := newLab()
+		got := float64(l.run(even))
 		is.True(got <= 1.5*full)
 	})
 	t.Run("cut apart", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, even)
+		l := newLab()
+		l.run(even)
 		for i := range 3 {
 			l.side[i] = 1
 		}
-		got := float64(l.run(window, even))
+		got := float64(l.run(even))
 		is.True(got <= 1.5*full)
 		is.True(got >= 0.9*full)
 	})
 	t.Run("an entry fails", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, even)
+		l := newLab()
+		l.run(even)
 		l.limiters = l.limiters[1:]
 		l.side = l.side[1:]
 		l.mail = nil
 		l.list()
-		l.run(window, even)
-		got := float64(l.run(window, func(int) float64 { return 3 * labRate / (entries - 1) }))
+		l.run(even)
+		got := float64(l.run(func(int) float64 { return 3 * labRate / (labEntries - 1) }))
 		is.True(got <= 1.02*full)
 		is.True(got >= 0.9*full)
 	})
 	t.Run("a new entry knows nothing", func(t *testing.T) {
 		is := is.New(t)
-		l := newLab(entries)
-		l.run(window, even)
+		l := newLab()
+		l.run(even)
 		l.limiters = append(l.limiters, &Limiter{Entry: "new"})
 		l.side = append(l.side, 0)
-		l.limiters[entries].SetEntries([]string{"new"})
-		got := float64(l.run(window, even))
+		l.limiters[labEntries].SetEntries([]string{"new"})
+		got := float64(l.run(even))
 		is.True(got <= 1.5*full)
 	})
 }
--- a/savorycore/savorymember/table.go
+++ b/savorycore/savorymember/table.go
@@ -43,6 +43,12 @@
 	// to, and farFanout the number of entries of each other zone at the origin.
 	nearFanout = 3
 	farFanout  = 2
+	// nearNeighbours and farNeighbours are the numbers of an entry's neighbours
+	// in its own zone and in the others.
+	nearNeighbours = 10
+	farNeighbours  = 5
+	// retryMissed is the part of the choices at which a missed peer counts.
+	retryMissed = 0.1
 	// farHeartbeat is the part of heartbeats that leave the own zone.
 	farHeartbeat = 0.25
 	// farNews is the part of receivers that hand news to another zone too.
@@ -147,21 +153,21 @@
 	return slices.Contains(t.Watchers(t.Self.Zone, now), t.Self)
 }
 
-// HeartbeatTargets returns the peers to exchange a heartbeat with now. Peers
-// that were missed are among those that may be picked, so that a healed link is
+// HeartbeatTargets returns the peers to exchange a heartbeat with now. In a
+// large fleet it is one of the entry's neighbours: connections to them are kept,
+// while one to a random entry would be opened for each heartbeat. Peers that
+// were missed are among the neighbours at times, so that a healed link is
 // noticed.
 func (t *Table) HeartbeatTargets(now time.Time) []Peer {
 	if len(t.order) <= FullMesh {
 		return t.Known()
 	}
 	far := t.Rand.Float64() < farHeartbeat
-	return t.pick(1, func(s *peerState) bool {
-		return (s.peer.Zone != t.Self.Zone) == far && (s.live(now) || t.Rand.Float64() < farNews)
-	})
+	return t.random(1, t.neighbours(far, func(s *peerState) bool { return s.live(now) || t.Rand.Float64() < retryMissed }))
 }
 
 // NewsTargets returns the peers that news is handed to. The entry where it
-// began hands it to every zone, a receiver to a few entries of its own.
+// began hands it to every zone, a receiver to a few neighbours.
 func (t *Table) NewsTargets(origin bool, now time.Time) []Peer {
 	if len(t.order) <= FullMesh {
 		if origin {
@@ -169,19 +175,34 @@
 		}
 		return nil
 	}
-	targets := t.pick(nearFanout, func(s *peerState) bool { return s.peer.Zone == t.Self.Zone && s.live(now) })
-	if origin {
-		for _, zone := range t.otherZones(now) {
-			targets = append(targets, t.pick(farFanout, func(s *peerState) bool { return s.peer.Zone == zone && s.live(now) })...)
+	live := func(s *peerState) bool { return s.live(now) }
+	targets := t.random(nearFanout, t.neighbours(false, live))
+	if !origin {
+		if t.Rand.Float64() < farNews {
+			targets = append(targets, t.random(1, t.neighbours(true, live))...)
 		}
 		return targets
 	}
-	if t.Rand.Float64() < farNews {
-		targets = append(targets, t.pick(1, func(s *peerState) bool { return s.peer.Zone != t.Self.Zone && s.live(now) })...)
+	for _, zone := range t.otherZones(now) {
+		inZone := t.selectPeers(func(s *peerState) bool { return s.peer.Zone == zone && s.live(now) })
+		targets = append(targets, t.random(farFanout, inZone)...)
 	}
 	return targets
 }
 
+// neighbours returns the peers, of the own zone or of the others, that keep
+// accepts and that rendezvous hashing gives to this entry. The graph of all
+// neighbours is random, so news spread as if partners were picked anew each
+// time.
+func (t *Table) neighbours(far bool, keep func(*peerState) bool) []Peer {
+	n := nearNeighbours
+	if far {
+		n = farNeighbours
+	}
+	peers := t.selectPeers(func(s *peerState) bool { return (s.peer.Zone != t.Self.Zone) == far && keep(s) })
+	return savoryhash.Top(t.Self.Name(), peers, Peer.Name, n)
+}
+
 // otherZones returns the other zones that hold a live entry, sorted.
 func (t *Table) otherZones(now time.Time) []string {
 	var zones []string
@@ -194,25 +215,10 @@
 	return zones
 }
 
-// pick returns up to n random peers of those that keep accepts.
-func (t *Table) pick(n int, keep func(*peerState) bool) []Peer {
-	var picked []Peer
-	if len(t.order) == 0 {
-		return nil
-	}
-	matching := make([]*peerState, 0, len(t.order))
-	for _, s := range t.order {
-		if keep(s) {
-			matching = append(matching, s)
-		}
-	}
-	for len(picked) < n && len(matching) > 0 {
-		i := t.Rand.IntN(len(matching))
-		picked = append(picked, matching[i].peer)
-		matching[i] = matching[len(matching)-1]
-		matching = matching[:len(matching)-1]
-	}
-	return picked
+// random returns up to n random ones of peers, which it reorders.
+func (t *Table) random(n int, peers []Peer) []Peer {
+	t.Rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
 }
 
 // state returns the state of a peer, new if it was not known.
--- a/savorycore/savorypeer/server.go
+++ b/savorycore/savorypeer/server.go
@@ -26,7 +26,7 @@
 	// checkTime is how long such a check waits.
 	checkTime = 3 * time.Second
 	// unusedTime is the time without a call after which a connection is closed.
-	unusedTime = 20 * time.Second
+	unusedTime = time.Minute
 )
 
 // Server answers the calls of other entries. Its exported fields are set
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -25,12 +25,15 @@
 	maxAttempts = 6
 	// stallFactor is the number of between-token times without a token after
 	// which a chain counts as stalled.
-	stallFactor = 8
+	stallFactor = 5
 	// minStall is the shortest stall that is acted on.
 	minStall = 300 * time.Millisecond
-	// firstStallFactor is the number of first-token times after which an
-	// attempt without any token counts as stalled.
-	firstStallFactor = 2
+	// firstStallFactor is the number of estimated first-token times, beyond
+	// minStall, after which an attempt without any token counts as stalled.
+	firstStallFactor = 4
+	// firstStallBound is the number of first-token times of the pipeline that
+	// bounds it.
+	firstStallBound = 2
 	// probeTimeout bounds the probe of a server of a stalled chain.
 	probeTimeout = 300 * time.Millisecond
 	// overloadRetry is the least time after which a caller may ask again.
@@ -62,7 +65,11 @@
 	// token hands an accepted token to the caller.
 	token func(*savoryengine.Token) error
 
+	// avoid lists the servers that failed, doubt those of stalled chains.
 	avoid []string
+	doubt []string
+	// holds lists the servers of failed attempts that did not fail themselves.
+	holds []string
 	// patience is the part of the bound on the first token up to which the
 	// request is admitted.
 	patience float64
@@ -198,6 +205,8 @@
 		Prefix:       g.c.prefix,
 		PrefixTokens: g.c.prefixTokens,
 		Avoid:        g.avoid,
+		Doubt:        g.doubt,
+		Holds:        g.holds,
 		Patience:     g.patience,
 		Begun:        attempt > 1,
 	}
@@ -208,7 +217,7 @@
 	g.log.WithFields(log.Fields{
 		"pipeline": g.c.pipeline.Name, "chain": savorychain.Servers(choice.Chain), "runnerUp": savorychain.Servers(choice.RunnerUp),
 		"firstToken": choice.FirstToken, "betweenTokens": choice.BetweenTokens, "looked": choice.Looked,
-		"from": emitted, "avoided": strings.Join(g.avoid, ","), "reason": "least estimated time",
+		"from": emitted, "avoided": strings.Join(g.avoid, ","), "doubted": strings.Join(g.doubt, ","), "reason": "least estimated time",
 	}).Info("chain chosen")
 	return choice, nil
 }
@@ -308,7 +317,7 @@
 }
 
 // blame records who failed. A stage that names itself, or is named, is avoided
-// and suspected. If the chain only stalled, its servers are avoided by this
+// and suspected. If the chain only stalled, its servers are doubted by this
 // request and probed on new connections: one that answers is not suspected.
 func (p *pipelineRunner) blame(g *generation, choice savorychain.Choice, err error) {
 	now := p.callers.now()
@@ -331,11 +340,13 @@
 	}
 	if server != "" {
 		g.avoid = appendMissing(g.avoid, server)
+		g.holds = otherServers(choice.Chain, server)
 		p.callers.tables.chains.with(func(t *savorychain.Table) { t.Failed(server, now) })
 		return
 	}
+	g.holds = nil
 	for _, hop := range choice.Chain {
-		g.avoid = appendMissing(g.avoid, hop.Server)
+		g.doubt = appendMissing(g.doubt, hop.Server)
 		p.pool.submit(func() { p.probe(hop) })
 	}
 }
@@ -393,7 +404,8 @@
 
 // firstStall returns how long an attempt may take to its first token.
 func (p *pipelineRunner) firstStall(g *generation, choice savorychain.Choice) time.Duration {
-	return max(minStall, firstStallFactor*max(g.c.pipeline.FirstToken.D(), choice.FirstToken))
+	bound := firstStallBound * max(g.c.pipeline.FirstToken.D(), choice.FirstToken)
+	return min(bound, minStall+firstStallFactor*choice.FirstToken)
 }
 
 // priority returns the priority at the engines: that of the contract, lowered
@@ -410,6 +422,17 @@
 	return max(minStall, stallFactor*max(g.c.pipeline.BetweenTokens.D(), choice.BetweenTokens))
 }
 
+// otherServers returns the servers of a chain but one.
+func otherServers(chain []savoryengine.Hop, but string) []string {
+	var names []string
+	for _, hop := range chain {
+		if hop.Server != but {
+			names = append(names, hop.Server)
+		}
+	}
+	return names
+}
+
 func appendMissing(names []string, name string) []string {
 	if slices.Contains(names, name) {
 		return names
--- a/savorystand/measure.go
+++ b/savorystand/measure.go
@@ -17,7 +17,7 @@
 	seed := flags.Uint64("seed", 1, "`seed` of the run")
 	warm := flags.Duration("warm", 10*time.Second, "virtual `time` before the measurement")
 	length := flags.Duration("time", 20*time.Second, "measured virtual `time`")
-	real := flags.Duration("real", 6*time.Second, "real `time` for which entries are measured")
+	wall := flags.Duration("real", 6*time.Second, "real `time` for which entries are measured")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -35,7 +35,8 @@
 		{"routing", measureRouting},
 		{"prefixes", measurePrefixes},
 		{"customers", measureCustomers},
-		{"slopes", func(func() savorylab.Lab) error { return runSlopes(*real) }},
+		{"recovery", func(func() savorylab.Lab) error { return measureRecovery() }},
+		{"slopes", func(func() savorylab.Lab) error { return runSlopes(*wall) }},
 	} {
 		if what != "" && what != m.name {
 			continue
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -36,6 +37,8 @@
 	ModelVersion = "v1"
 	// Layers is the number of layers of the model.
 	Layers = 12
+	// Stages is the number of stages of the pipeline.
+	Stages = 3
 	// readyTimeout bounds the wait until the site serves.
 	readyTimeout = 15 * time.Second
 	// pollInterval is the time between two looks at a condition.
@@ -65,8 +68,13 @@
 
 	platformAddress netip.AddrPort
 	servers         []*http.Server
+	peerBytes       atomic.Int64
 }
 
+// PeerBytes returns the bytes that entries exchanged with one another, framing
+// of TLS, HTTP/2 and gRPC included, counted once.
+func (s *Site) PeerBytes() int64 { return s.peerBytes.Load() }
+
 // Entry is one entry of a site.
 type Entry struct {
 	Node    *savorynode.Node
@@ -151,6 +159,7 @@
 	if s.Tune != nil {
 		s.Tune(settings)
 	}
+	listeners.Peers = &countingListener{Listener: listeners.Peers, bytes: &s.peerBytes}
 	e.Node = &savorynode.Node{Settings: settings, Log: s.Log.WithField("entry", e.Peers), Listeners: listeners}
 	s.Nodes = append(s.Nodes, e)
 	s.Platform.SetVM(savoryworld.VM{Address: e.Peers, Zone: zone, Region: "limpopo", State: savoryworld.VMLive, Entry: true})
--- a/savorystand/slopes.go
+++ b/savorystand/slopes.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savorystream"
 	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savorystand/savoryfleet"
 	"savorycart.example/savorystand/savorysite"
@@ -34,17 +36,19 @@
 	targetBuckets = 2048
 	// targetHot is the number of customers that one entry serves in a second.
 	targetHot = 46
+	// todayNodes is the number of entries of a site of today.
+	todayNodes = 7
 )
 
 // repeat is the number of times that a short piece of work is timed.
 const repeat = 2000
 
 // runSlopes measures all series and prints them.
-func runSlopes(real time.Duration) error {
+func runSlopes(length time.Duration) error {
 	var series []*savoryslope.Series
 	for _, measure := range []func() ([]*savoryslope.Series, error){
-		measureDocument, measureDecision, measureLimits, measureFleet,
-		func() ([]*savoryslope.Series, error) { return measureNodes(real) },
+		measureDocument, measureDecision, measureToken, measureLimits, measureFleet,
+		func() ([]*savoryslope.Series, error) { return measureNodes(length) },
 	} {
 		more, err := measure()
 		if err != nil {
@@ -298,39 +302,59 @@
 	return []*savoryslope.Series{spread, idle, changed, worst, reads, watches}, nil
 }
 
-// measureNodes measures real entries in one process over loopback.
+// nodeSeries are the series of real entries in one process over loopback.
+type nodeSeries struct {
+	spent   savoryslope.Series
+	memory  savoryslope.Series
+	bytes   savoryslope.Series
+	changed savoryslope.Series
+}
+
+func newNodeSeries(fleet string, target float64) *nodeSeries {
+	return &nodeSeries{
+		spent:   savoryslope.Series{Name: "idle entry, " + fleet, Unit: "% of a core", Per: "nodes", Target: target},
+		memory:  savoryslope.Series{Name: "idle entry, " + fleet, Unit: "MB", Per: "nodes", Target: target},
+		bytes:   savoryslope.Series{Name: "idle entry, both directions, " + fleet, Unit: "bytes/s", Per: "nodes", Target: target},
+		changed: savoryslope.Series{Name: "change in force everywhere, " + fleet, Unit: "ms", Per: "nodes", Target: target},
+	}
+}
+
+// measureNodes measures real entries: small fleets, which exchange heartbeats
+// all with all, and larger ones.
 func measureNodes(length time.Duration) ([]*savoryslope.Series, error) {
-	spent := &savoryslope.Series{Name: "idle entry", Unit: "% of a core", Per: "nodes", Target: targetNodes}
-	memory := &savoryslope.Series{Name: "idle entry", Unit: "MB", Per: "nodes", Target: targetNodes}
-	bytes := &savoryslope.Series{Name: "idle entry, payload", Unit: "bytes/s", Per: "nodes", Target: targetNodes}
-	changed := &savoryslope.Series{Name: "change in force everywhere", Unit: "ms", Per: "nodes", Target: targetNodes}
-	for _, n := range []int{3, 7, 14, 28, 56} {
-		before := heap()
-		site := &savorysite.Site{Entries: n, EnginesPerStage: 3, ServiceServers: 1, Log: savorylog.Discard()}
-		if err := site.Start(); err != nil {
-			site.Stop()
-			return nil, err
+	small := newNodeSeries("small fleet", todayNodes)
+	large := newNodeSeries("large fleet", targetNodes)
+	for _, n := range []int{3, 5, 7, 14, 28, 56, 84} {
+		series := large
+		if n <= todayNodes {
+			series = small
 		}
-		err := measureSite(site, n, length, before, []*savoryslope.Series{spent, memory, bytes, changed})
-		site.Stop()
-		if err != nil {
+		if err := series.measure(n, length); err != nil {
 			return nil, err
 		}
 	}
-	return []*savoryslope.Series{spent, memory, bytes, changed}, nil
+	return []*savoryslope.Series{
+		&small.spent, &small.memory, &small.bytes, &small.changed,
+		&large.spent, &large.memory, &large.bytes, &large.changed,
+	}, nil
 }
 
-// measureSite adds a point of a running site to the series: processor time,
-// memory, bytes and the time of a change.
-func measureSite(site *savorysite.Site, n int, length time.Duration, before uint64, series []*savoryslope.Series) error {
+// measure adds the point of a site with n entries.
+func (s *nodeSeries) measure(n int, length time.Duration) error {
+	before := heap()
+	site := &savorysite.Site{Entries: n, EnginesPerStage: 3, ServiceServers: 1, Log: savorylog.Discard()}
+	defer site.Stop()
+	if err := site.Start(); err != nil {
+		return err
+	}
 	time.Sleep(length / 2)
-	sent := peerBytes(site)
-	spent := cpu()
+	bytes, spent := site.PeerBytes(), cpu()
 	time.Sleep(length)
 	nodes := float64(n)
-	series[0].Add(nodes, 100*(cpu()-spent).Seconds()/length.Seconds()/nodes)
-	series[1].Add(nodes, float64(heap()-before)/1e6/nodes)
-	series[2].Add(nodes, (peerBytes(site)-sent)/length.Seconds()/nodes)
+	s.spent.Add(nodes, 100*(cpu()-spent).Seconds()/length.Seconds()/nodes)
+	s.memory.Add(nodes, float64(heap()-before)/1e6/nodes)
+	// Each byte is sent by one entry and received by another.
+	s.bytes.Add(nodes, 2*float64(site.PeerBytes()-bytes)/length.Seconds()/nodes)
 	doc := *site.Document
 	doc.Customers = append([]savoryworld.Customer(nil), doc.Customers...)
 	doc.Customers[0].Contract.Concurrency++
@@ -342,21 +366,47 @@
 	if err := site.WaitRevision(revision); err != nil {
 		return err
 	}
-	series[3].Add(nodes, time.Since(begun).Seconds()*1e3)
+	s.changed.Add(nodes, time.Since(begun).Seconds()*1e3)
 	return nil
 }
 
-// peerBytes returns the bytes that all entries sent and received as callers of
-// other entries; the other ends count the same bytes again.
-func peerBytes(site *savorysite.Site) float64 {
-	total := 0.0
-	for _, e := range site.Nodes {
-		status, err := e.Operator("").Status(context.Background())
-		if err == nil {
-			total += 2 * float64(status.Traffic.SentBytes+status.Traffic.ReceivedBytes)
+// measureToken measures what a node does for each token of an answer.
+func measureToken() ([]*savoryslope.Series, error) {
+	took := &savoryslope.Series{Name: "token decoded and checked", Unit: "µs CPU", Per: "stages", Target: 3}
+	bytes := &savoryslope.Series{Name: "token of an engine", Unit: "bytes", Per: "stages", Target: 3}
+	for _, stages := range []int{1, 2, 3, 6} {
+		const layers = 48
+		var chain []savoryengine.Hop
+		token := &savoryengine.Token{Request: "0123456789abcdef01234567", Attempt: 1, Text: " culvert"}
+		for i := range stages {
+			r := savoryworld.LayerRange{From: i * layers / stages, To: (i + 1) * layers / stages}
+			chain = append(chain, savoryengine.Hop{Server: fmt.Sprintf("worker-%05d", i), Layers: r})
+			token.Ran = append(token.Ran, savoryengine.Ran{Server: chain[i].Server, Layers: r})
+		}
+		sequence := &savorystream.Sequence{Request: token.Request, Layers: layers}
+		sequence.Begin(chain)
+		size := 0
+		us, _, err := timed(func() error {
+			token.Index = len(sequence.Emitted())
+			data, err := json.Marshal(savoryengine.Event{Token: token})
+			if err != nil {
+				return err
+			}
+			size = len(data)
+			event, err := savoryengine.DecodeEvent(data)
+			if err != nil {
+				return err
+			}
+			_, err = sequence.Take(event.Token)
+			return err
+		})
+		if err != nil {
+			return nil, err
 		}
+		took.Add(float64(stages), us)
+		bytes.Add(float64(stages), float64(size))
 	}
-	return total
+	return []*savoryslope.Series{took, bytes}, nil
 }
 
 // timed returns the processor time in microseconds and the allocations of one
