--- a/savorycore/savorylimit/limiter_test.go
+++ b/savorycore/savorylimit/limiter_test.go
@@ -183,6 +183,24 @@
 	})
 }
 
+// In a large fleet no demand is exchanged, and all entries together keep to the
+// contract whatever they see.
+func TestLargeFleetDividesEvenly(t *testing.T) {
+	is := is.New(t)
+	l := &Limiter{Entry: "e0"}
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	l.SetEntries(names)
+	now := time.Unix(1000, 0)
+	for range 50 {
+		_ = l.Admit(contract, 0, now)
+	}
+	is.Equal(len(l.Announce(now)), 0)
+	is.Equal(l.Share("c", now), 0.01)
+}
+
 func TestConcurrencyIsBounded(t *testing.T) {
 	is := is.New(t)
 	l := &Limiter{Entry: "e"}
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -139,18 +139,19 @@
 	return values, nil
 }
 
-// List reads all keys that begin with prefix, and the service's revision.
-func (s *Store) List(ctx context.Context, prefix string) ([]Value, int64, error) {
+// List reads the keys that begin with prefix with their revisions, but not
+// their values.
+func (s *Store) List(ctx context.Context, prefix string) ([]Value, error) {
 	var answer RangeResponse
-	req := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix))}
+	req := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix)), KeysOnly: true}
 	if err := s.call(ctx, "range", "/v3/kv/range", req, &answer); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	values := make([]Value, 0, len(answer.Kvs))
 	for _, kv := range answer.Kvs {
 		values = append(values, valueOf(kv))
 	}
-	return values, answer.Header.Revision, nil
+	return values, nil
 }
 
 // Swap runs one compare-and-swap.
--- a/savorycore/savorystore/wire.go
+++ b/savorycore/savorystore/wire.go
@@ -20,6 +20,8 @@
 type RangeRequest struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// KeysOnly leaves the values out.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 // RangeResponse answers a RangeRequest.
--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -20,9 +20,9 @@
 	Path = "/vms"
 	// maxListBytes bounds the list.
 	maxListBytes = 8 << 20
-	// RoleEntry and RoleWorker are the role labels of VMs that run an entry and
-	// of those that run a backend server.
-	RoleEntry  = "entry"
+	// RoleEntry is the role label of VMs that run an entry.
+	RoleEntry = "entry"
+	// RoleWorker is the role label of VMs that run a backend server.
 	RoleWorker = "worker"
 )
 
--- a/savoryentry/savorynode/configstore.go
+++ b/savoryentry/savorynode/configstore.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	rootKey      = "savorycart/config/root"
-	bucketPrefix = "savorycart/config/bucket/"
+	// watchedPrefix begins the keys that watchers follow.
+	watchedPrefix = "savorycart/watched/"
+	rootKey       = watchedPrefix + "root"
+	bucketPrefix  = "savorycart/bucket/"
 	// submitTries bounds the writes that one submission tries.
-	submitTries = 12
+	submitTries = 8
 	// submitPause is the pause before the second try; it doubles up to
 	// maxSubmitPause.
 	submitPause    = 50 * time.Millisecond
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,9 +41,7 @@
 	// after which the entry is not ready: it cannot learn of changes.
 	cutOffAfter = 5 * time.Second
 	// markPrefix begins the store keys of operators' leaving marks.
-	markPrefix = "savorycart/leaving/"
-	// watchPrefix covers the root and the marks.
-	watchPrefix = "savorycart/"
+	markPrefix = watchedPrefix + "leaving/"
 )
 
 // spreader is the plumbing around savorymember and savorypeer.
@@ -361,10 +360,11 @@
 // left in their zone.
 func (s *spreader) pollLoop(t *tomb.Tomb) error {
 	var polledAt time.Time
+	seen := make(map[string]int64)
 	for {
 		now := s.now()
 		if s.isWatcher() || s.keeper.revision() == 0 || now.Sub(polledAt) >= rarePollInterval {
-			s.poll(t.Context(context.Background()))
+			s.poll(t.Context(context.Background()), seen)
 			polledAt = now
 		}
 		if !sleep(t, storePollInterval) {
@@ -373,43 +373,53 @@
 	}
 }
 
-// poll reads the root and the marks.
-func (s *spreader) poll(ctx context.Context) {
-	stored, err := s.config.readRoot(ctx)
+// poll looks at the revisions of the root and the marks in the store, and reads
+// those that changed since the last look.
+func (s *spreader) poll(ctx context.Context, seen map[string]int64) {
+	keys, err := s.store.List(ctx, watchedPrefix)
 	if err != nil {
 		return
 	}
 	s.storeAt.Store(s.now().UnixNano())
-	s.takeStored(ctx, stored.root)
-	values, _, err := s.store.List(ctx, markPrefix)
+	var changed []string
+	for _, key := range keys {
+		if key.Revision != seen[key.Key] {
+			changed = append(changed, key.Key)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	values, err := s.store.GetMany(ctx, changed)
 	if err != nil {
 		return
 	}
 	for _, v := range values {
-		s.takeStoredMark(ctx, v)
+		if s.watched(ctx, v) {
+			seen[v.Key] = v.Revision
+		}
 	}
 }
 
-// takeStored puts a root read from the store in force and hands it on.
-func (s *spreader) takeStored(ctx context.Context, root *savoryconfig.Root) {
+// takeStored puts a root read from the store in force and hands it on. It
+// reports whether the root, or a newer one, is in force.
+func (s *spreader) takeStored(ctx context.Context, root *savoryconfig.Root) bool {
 	if root.Revision < s.keeper.revision() {
 		s.log.WithFields(log.Fields{"stored": root.Revision, "revision": s.keeper.revision()}).Warn("the store shows an older revision; it is ignored")
-		return
+		return true
 	}
 	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
 	if err != nil {
 		s.log.WithError(err).Error("revision refused")
-		return
+		return false
 	}
 	if fresh {
 		s.announceRevision(ctx)
 	}
+	return true
 }
 
 func (s *spreader) takeStoredMark(ctx context.Context, v savorystore.Value) {
-	if v.Body == nil {
-		return
-	}
 	mark, err := decodeMark(v.Body)
 	if err != nil {
 		s.log.WithError(err).WithField("key", v.Key).Error("mark refused")
@@ -440,25 +450,29 @@
 		}
 		cancel()
 	}()
-	err := s.store.Watch(ctx, watchPrefix, 0, func(v savorystore.Value) { s.watched(ctx, v) })
+	err := s.store.Watch(ctx, watchedPrefix, 0, func(v savorystore.Value) { _ = s.watched(ctx, v) })
 	if err != nil && ctx.Err() == nil {
 		s.log.WithError(err).Warn("watch broken")
 	}
 }
 
-func (s *spreader) watched(ctx context.Context, v savorystore.Value) {
+// watched takes a watched key and reports whether it need not be read again.
+func (s *spreader) watched(ctx context.Context, v savorystore.Value) bool {
 	s.storeAt.Store(s.now().UnixNano())
 	switch {
-	case v.Key == rootKey && v.Body != nil:
+	case v.Body == nil:
+		return true
+	case v.Key == rootKey:
 		root, err := savoryconfig.DecodeRoot(v.Body)
 		if err != nil {
 			s.log.WithError(err).Error("root refused")
-			return
+			return true
 		}
-		s.takeStored(ctx, root)
-	case len(v.Key) > len(markPrefix) && v.Key[:len(markPrefix)] == markPrefix:
+		return s.takeStored(ctx, root)
+	case strings.HasPrefix(v.Key, markPrefix):
 		s.takeStoredMark(ctx, v)
 	}
+	return true
 }
 
 func (s *spreader) isWatcher() bool {
--- a/savorystand/savoryplatform/keyspace.go
+++ b/savorystand/savoryplatform/keyspace.go
@@ -56,6 +56,11 @@
 		}
 	}
 	slices.SortFunc(answer.Kvs, func(a, b savorystore.KeyValue) int { return bytes.Compare(a.Key, b.Key) })
+	if req.KeysOnly {
+		for i := range answer.Kvs {
+			answer.Kvs[i].Value = nil
+		}
+	}
 	return answer
 }
 
