Race the teams, roll versions out, and heal a store that was set back

Cause: races under lost answers and outages, orders to engines and a store that shows an old root had no proof on a running site. With the old root the entries stayed at the newer revision, but no change was possible any more and an entry that started later would have gone back.

After: watchers write the root in force over the older one.

Conclusion: an accepted revision does not revert, even if the store does.

--- a/savoryentry/savorynode/configstore.go
+++ b/savoryentry/savorynode/configstore.go
@@ -269,6 +269,35 @@
 	return fresh, c.store.PutMany(ctx, values)
 }
 
+// heal writes the root in force, with its buckets, over an older one in the
+// store, and reports whether it did. A store that shows an older root than one in force was set
+// back: without this, entries that start would put the old one in force.
+//
+// A watch tells of roots late, so the store is read again first.
+func (c *configStore) heal(ctx context.Context, keeper *configKeeper) (bool, error) {
+	stored, err := c.readRoot(ctx)
+	if err != nil {
+		return false, err
+	}
+	snapshot := keeper.snapshot()
+	if stored.root.Revision >= snapshot.Revision() {
+		return false, nil
+	}
+	var values []savorystore.Value
+	for _, b := range keeper.held(snapshot.Root.BucketIDs()) {
+		values = append(values, savorystore.Value{Key: bucketKey(b.ID), Body: b.Body})
+	}
+	if err := c.store.PutMany(ctx, values); err != nil {
+		return false, err
+	}
+	body, err := savoryconfig.EncodeRoot(snapshot.Root)
+	if err != nil {
+		return false, err
+	}
+	result, err := c.store.Swap(ctx, savorystore.Swap{Key: rootKey, Old: stored.revision, Body: body})
+	return result.Won, err
+}
+
 // deleteRetired deletes the buckets that the new root no longer remembers. A
 // bucket that stays behind because a call failed does no harm.
 func (c *configStore) deleteRetired(ctx context.Context, old *savoryconfig.Root) {
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -401,12 +401,12 @@
 	}
 }
 
-// takeStored puts a root read from the store in force and hands it on. It
-// reports whether the root, or a newer one, is in force.
+// takeStored puts a root read from the store in force and hands it on. If the
+// store was set back to an older one it is healed. It reports whether the root
+// need not be read again.
 func (s *spreader) takeStored(ctx context.Context, root *savoryconfig.Root) bool {
 	if root.Revision < s.keeper.revision() {
-		s.log.WithFields(log.Fields{"stored": root.Revision, "revision": s.keeper.revision()}).Warn("the store shows an older revision; it is ignored")
-		return true
+		return s.heal(ctx)
 	}
 	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
 	if err != nil {
@@ -419,6 +419,20 @@
 	return true
 }
 
+// heal writes the root in force over an older one in the store. It reports
+// whether the store is known to hold it.
+func (s *spreader) heal(ctx context.Context) bool {
+	healed, err := s.config.heal(ctx, s.keeper)
+	if err != nil {
+		s.log.WithError(err).Warn("store not healed")
+		return false
+	}
+	if healed {
+		s.log.WithField("revision", s.keeper.revision()).Error("the store showed an older revision; the one in force was written over it")
+	}
+	return true
+}
+
 func (s *spreader) takeStoredMark(ctx context.Context, v savorystore.Value) {
 	mark, err := decodeMark(v.Body)
 	if err != nil {
--- /dev/null
+++ b/savorystand/race_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savoryentry/savorynode"
+	"savorycart.example/savorystand/savoryplatform"
+	"savorycart.example/savorystand/savorysite"
+)
+
+const (
+	raceTeams   = 4
+	raceChanges = 6
+)
+
+// raceOutcome is what a team was told of one change.
+type raceOutcome struct {
+	customer string
+	revision uint64
+	err      error
+}
+
+// Teams race each other at different entries while the store loses answers and
+// goes out. Every change that was accepted is in the document in the end, none
+// that was refused as NotRun is, no two have the same revision, and no entry
+// ever goes back.
+func TestRacingTeams(t *testing.T) {
+	is := is.New(t)
+	site := &savorysite.Site{
+		Entries: 3, EnginesPerStage: 1, ServiceServers: 1, Log: savorylog.Discard(),
+		Tune: func(s *savorynode.Settings) {
+			s.Platform.StoreTimeout = savoryworld.Duration(100 * time.Millisecond)
+		},
+	}
+	defer site.Stop()
+	is.NoErr(site.Start())
+
+	var done atomic.Bool
+	var wentBack atomic.Int64
+	var watchers, teams sync.WaitGroup
+	for _, e := range site.Nodes {
+		watchers.Go(func() {
+			last := uint64(0)
+			for !done.Load() {
+				now := e.Node.Revision()
+				if now < last {
+					wentBack.Add(1)
+				}
+				last = now
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+	watchers.Go(func() { disturb(site.Platform, &done) })
+	outcomes := make(chan raceOutcome, raceTeams*raceChanges)
+	for team := range raceTeams {
+		teams.Go(func() {
+			for i := range raceChanges {
+				outcomes <- addCustomer(site.Nodes[team%len(site.Nodes)], fmt.Sprintf("team-%d-%d", team, i))
+			}
+		})
+	}
+	teams.Wait()
+	done.Store(true)
+	watchers.Wait()
+	close(outcomes)
+	site.Platform.SetFaults(savoryplatform.Faults{})
+
+	is.Equal(wentBack.Load(), int64(0))
+	revisions := make(map[uint64]string)
+	highest := uint64(0)
+	var all []raceOutcome
+	for o := range outcomes {
+		all = append(all, o)
+		if o.err == nil {
+			is.Equal(revisions[o.revision], "") // one change for each revision
+			revisions[o.revision] = o.customer
+			highest = max(highest, o.revision)
+		}
+	}
+	is.True(len(revisions) > 0)
+	is.NoErr(site.WaitRevision(highest))
+	present := customersInForce(t, site.Nodes[0])
+	for _, o := range all {
+		if o.err == nil && !present[o.customer] {
+			t.Errorf("%s was accepted as revision %d but is not in force", o.customer, o.revision)
+		}
+		if o.err != nil && savoryverdict.Of(o.err) == savoryverdict.NotRun && present[o.customer] {
+			t.Errorf("%s was refused as NotRun but is in force: %v", o.customer, o.err)
+		}
+	}
+}
+
+// disturb switches faults of the store on and off.
+func disturb(p *savoryplatform.Platform, done *atomic.Bool) {
+	source := rand.New(rand.NewPCG(1, 1))
+	for !done.Load() {
+		faults := savoryplatform.Faults{LoseAnswers: source.IntN(3)}
+		if source.IntN(4) == 0 {
+			faults.Out = true
+		}
+		p.SetFaults(faults)
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// addCustomer reads the section at an entry, adds a customer and submits it.
+func addCustomer(e *savorysite.Entry, name string) raceOutcome {
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	o := raceOutcome{customer: name}
+	shown, err := e.Operator("").Document(ctx, savoryconfig.Customers)
+	if err != nil {
+		return raceOutcome{customer: name, err: errors.Join(err, &savoryverdict.Error{Verdict: savoryverdict.NotRun})}
+	}
+	doc, err := savoryconfig.Parse("shown", shown.Text)
+	if err != nil {
+		o.err = err
+		return o
+	}
+	doc.Customers = append(doc.Customers, savoryworld.Customer{
+		Name: name, KeySHA256: []string{savorysite.Digest(name)}, HomeRegion: "limpopo",
+	})
+	o.revision, o.err = e.Submit(ctx, savoryconfig.Customers, "desk", shown.Revision, doc)
+	return o
+}
+
+func customersInForce(t *testing.T, e *savorysite.Entry) map[string]bool {
+	t.Helper()
+	shown, err := e.Operator("").Document(context.Background(), savoryconfig.Customers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := savoryconfig.Parse("shown", shown.Text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	present := make(map[string]bool)
+	for _, c := range doc.Customers {
+		present[c.Name] = true
+	}
+	return present
+}
--- a/savorystand/savorymodel/engine.go
+++ b/savorystand/savorymodel/engine.go
@@ -102,6 +102,13 @@
 	return e.orders
 }
 
+// Held returns what the engine holds.
+func (e *Engine) Held() savoryengine.Wanted {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holds
+}
+
 // Handler serves the engine's interface.
 func (e *Engine) Handler() http.Handler {
 	e.mu.Lock()
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -21,6 +21,7 @@
 	"savorycart.example/savorycore/savoryadmin"
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savoryentry/savorynode"
 	"savorycart.example/savorystand/savorymodel"
@@ -119,6 +120,11 @@
 	return s.WaitRevision(1)
 }
 
+// Store returns a client of the platform's store.
+func (s *Site) Store() *savorystore.Store {
+	return &savorystore.Store{Address: s.platformAddress, Timeout: readyTimeout}
+}
+
 // Stop ends all parts at once.
 func (s *Site) Stop() {
 	for _, e := range s.Nodes {
--- a/savorystand/script_test.go
+++ b/savorystand/script_test.go
@@ -18,6 +18,7 @@
 
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savoryentry/savorynode"
@@ -54,6 +55,11 @@
 			"vanish":   onScript((*script).vanish),
 			"add":      onScript((*script).add),
 			"vm":       onScript((*script).vm),
+			"upgrade":  onScript((*script).upgrade),
+			"holds":    onScript((*script).checkHolds),
+			"keep":     onScript((*script).keepRoot),
+			"restore":  onScript((*script).restoreRoot),
+			"healed":   onScript((*script).checkHealed),
 		},
 	})
 }
@@ -63,12 +69,19 @@
 	world   *savorysite.Site
 	reply   savorysite.Reply
 	answers map[string]chan error
+	// version is the version of the model that answers must come from.
+	version string
+	// root is the stored root that keep read.
+	root savorystore.Value
 }
 
+// rootKey is the store key of the root.
+const rootKey = "savorycart/watched/root"
+
 type scriptKey struct{}
 
 func setupScript(env *testscript.Env) error {
-	s := &script{answers: make(map[string]chan error)}
+	s := &script{answers: make(map[string]chan error), version: savorysite.ModelVersion}
 	env.Values[scriptKey{}] = s
 	env.Defer(func() {
 		if s.world != nil {
@@ -104,6 +117,8 @@
 		Entries: numbers[0], EnginesPerStage: numbers[1], ServiceServers: numbers[2], Log: savorylog.Discard(),
 		Tune: func(settings *savorynode.Settings) {
 			settings.Platform.StoreTimeout = savoryworld.Duration(300 * time.Millisecond)
+			settings.Orders.Enabled = true
+			settings.Orders.LeaseTime = savoryworld.Duration(2 * time.Second)
 		},
 		Edit: func(doc *savoryconfig.Document) {
 			doc.Routes = append(doc.Routes, savoryworld.Route{
@@ -227,15 +242,15 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
 	defer cancel()
-	return generateAndCheck(ctx, caller, strings.Join(args, " "), tokens)
+	return generateAndCheck(ctx, caller, s.version, strings.Join(args, " "), tokens)
 }
 
-func generateAndCheck(ctx context.Context, caller *savorysite.Caller, prompt string, tokens int) error {
+func generateAndCheck(ctx context.Context, caller *savorysite.Caller, version, prompt string, tokens int) error {
 	g, err := caller.Generate(ctx, savorysite.ModelName, prompt, tokens)
 	if err != nil {
 		return err
 	}
-	want := savorymodel.Expect(savorysite.ModelName, savorysite.ModelVersion, prompt, savorysite.Layers, tokens)
+	want := savorymodel.Expect(savorysite.ModelName, version, prompt, savorysite.Layers, tokens)
 	if len(g.Text) > len(want) || !slices.Equal(g.Text, want[:len(g.Text)]) {
 		return fmt.Errorf("WRONG answer: %v", g.Text)
 	}
@@ -263,7 +278,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
 		defer cancel()
-		done <- generateAndCheck(ctx, caller, strings.Join(args, " "), tokens)
+		done <- generateAndCheck(ctx, caller, s.version, strings.Join(args, " "), tokens)
 	}()
 	before := s.runningEngines()
 	return savorysite.Eventually(scriptTimeout, "tokens run", func() bool { return s.runningEngines() > before })
@@ -322,6 +337,66 @@
 	return s.world.WaitRevision(n)
 }
 
+// upgrade ENTRY READ SUFFIX VERSION gives the engines whose names end in SUFFIX
+// another version; the suffix "pipeline" stands for the pipeline.
+func (s *script) upgrade(args []string) error {
+	entry, err := s.entry(args[0])
+	if err != nil {
+		return err
+	}
+	read, err := strconv.ParseUint(args[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	section := savoryconfig.BackendServers
+	if args[2] == "pipeline" {
+		section = savoryconfig.Pipelines
+		s.world.Document.Pipelines[0].Version = args[3]
+		s.version = args[3]
+	}
+	for i := range s.world.Document.BackendServers {
+		server := &s.world.Document.BackendServers[i]
+		if server.IsEngine() && strings.HasSuffix(server.Name, args[2]) {
+			server.Version = args[3]
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	_, err = entry.Submit(ctx, section, "models", read, s.world.Document)
+	return err
+}
+
+// holds SERVER VERSION waits until an engine holds a version.
+func (s *script) checkHolds(args []string) error {
+	return savorysite.Eventually(scriptTimeout, strings.Join(args, " holds "), func() bool {
+		return s.world.Engine(args[0]).Held().Version == args[1]
+	})
+}
+
+// keep reads the stored root, restore writes it again over a later one, as a
+// store does that was set back.
+func (s *script) keepRoot([]string) error {
+	var err error
+	s.root, err = s.world.Store().Get(context.Background(), rootKey)
+	return err
+}
+
+func (s *script) restoreRoot([]string) error {
+	return s.world.Store().PutMany(context.Background(), []savorystore.Value{s.root})
+}
+
+// healed N waits until the stored root has revision N again.
+func (s *script) checkHealed(args []string) error {
+	return savorysite.Eventually(scriptTimeout, "the store healed", func() bool {
+		v, err := s.world.Store().Get(context.Background(), rootKey)
+		if err != nil {
+			return false
+		}
+		root, err := savoryconfig.DecodeRoot(v.Body)
+		return err == nil && strconv.FormatUint(root.Revision, 10) == args[0]
+	})
+}
+
 // leave ENTRY SERVER marks a backend server as leaving.
 func (s *script) leave(args []string) error {
 	entry, err := s.entry(args[0])
