--- /dev/null
+++ b/savorycore/savorychain/choose_test.go
@@ -0,0 +1,231 @@
+package savorychain
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	testLayers = 12
+	second     = time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+// newServers returns engines for the given layer ranges, n of each.
+func newServers(n int, ranges ...savoryworld.LayerRange) []savoryworld.BackendServer {
+	var servers []savoryworld.BackendServer
+	for _, r := range ranges {
+		for i := range n {
+			port := uint16(len(servers) + 1)
+			servers = append(servers, savoryworld.BackendServer{
+				Name: fmt.Sprintf("%s/%d", r, i), Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port),
+				Zone: []string{"a", "b"}[i%2], Model: "m", Version: "v", Layers: r, Accelerator: []string{"fast", "slow"}[i%2],
+			})
+		}
+	}
+	return servers
+}
+
+func newTestTable(servers []savoryworld.BackendServer, seed uint64) *Table {
+	ms := func(n int) savoryworld.Duration { return savoryworld.Duration(time.Duration(n) * time.Millisecond) }
+	doc := &savoryconfig.Document{
+		Zones:          []savoryworld.AvailabilityZone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Links:          []savoryworld.Link{{From: "a", To: "b", Delay: ms(1), BytesPerSecond: 1 << 20}},
+		Accelerators:   []savoryworld.Accelerator{{Name: "fast", StepBase: ms(1), StepToken: 1000, MaxTokens: 64}, {Name: "slow", StepBase: ms(2), StepToken: 9000, MaxTokens: 16}},
+		Pipelines:      []savoryworld.Pipeline{{Name: "p", Model: "m", Version: "v", Layers: testLayers, ActivationBytes: 1 << 10, FirstToken: savoryworld.Duration(second), BetweenTokens: ms(72), MaxTokens: 99}},
+		BackendServers: servers,
+	}
+	t := &Table{Entry: "e", Zone: "a", Rand: rand.New(rand.NewPCG(seed, 1)), Sample: DefaultSample, Subset: DefaultSubset}
+	t.Load(savoryconfig.NewSnapshot(&savoryconfig.Root{Revision: 1}, doc))
+	return t
+}
+
+func request(t *Table) Request {
+	return Request{Pipeline: t.snapshot.Pipeline("p"), PromptTokens: 20, AnswerTokens: 10, Begun: true}
+}
+
+// Whatever fails, leaves or loads, a chosen chain covers all layers once and in
+// order, holds no server that leaves, and holds a server that failed only where
+// its stage has no other.
+func TestChosenChainsCover(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ranges := []savoryworld.LayerRange{{To: 4}, {From: 4, To: 9}, {From: 9, To: testLayers}, {From: 4, To: testLayers}, {To: 9}}
+		table := newTestTable(newServers(rapid.IntRange(1, 9).Draw(t, "n"), ranges...), 1)
+		var names []string
+		for name := range table.states {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		leaving := make(map[string]bool)
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			name := rapid.SampledFrom(names).Draw(t, "server")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				table.Failed(name, now)
+			case 1:
+				leaving[name] = rapid.Bool().Draw(t, "leaving")
+				table.SetLeaving(name, leaving[name])
+			case 2:
+				table.Report(savoryengine.Load{Server: name, Running: rapid.IntRange(0, 90).Draw(t, "running"), Queued: rapid.IntRange(0, 900).Draw(t, "queued")}, now)
+			case 3:
+				table.Succeeded(name)
+			}
+			checkChoice(t, table, leaving, now)
+		}
+	})
+}
+
+func checkChoice(t *rapid.T, table *Table, leaving map[string]bool, now time.Time) {
+	req := request(table)
+	choice, err := table.Choose(req, now)
+	if err != nil {
+		if !errors.Is(err, ErrNoChain) {
+			t.Fatal(err)
+		}
+		return
+	}
+	next := 0
+	for _, hop := range choice.Chain {
+		if hop.Layers.From != next {
+			t.Fatalf("chain %s: gap or overlap at layer %d", Servers(choice.Chain), next)
+		}
+		next = hop.Layers.To
+		if leaving[hop.Server] {
+			t.Fatalf("chain %s holds %s, which leaves", Servers(choice.Chain), hop.Server)
+		}
+		if table.states[hop.Server].suspect(now) && hasGood(table, hop.Layers, now) {
+			t.Fatalf("chain %s holds %s, which failed, while others serve its stage", Servers(choice.Chain), hop.Server)
+		}
+	}
+	if next != testLayers {
+		t.Fatalf("chain %s ends at layer %d", Servers(choice.Chain), next)
+	}
+	flight := table.Sent(choice, req.PromptTokens, now)
+	table.Finished(flight)
+}
+
+func hasGood(table *Table, layers savoryworld.LayerRange, now time.Time) bool {
+	for _, s := range table.states {
+		if s.server.Layers == layers && !s.leaves() && !s.suspect(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNoChainWithoutStage(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(newServers(2, savoryworld.LayerRange{To: 4}, savoryworld.LayerRange{From: 5, To: testLayers}), 1)
+	_, err := table.Choose(request(table), start)
+	is.True(errors.Is(err, ErrNoChain))
+}
+
+// Requests go to the less loaded engine, and reports of other entries' work
+// count and fade.
+func TestLoadIsFollowed(t *testing.T) {
+	is := is.New(t)
+	servers := newServers(2, savoryworld.LayerRange{To: testLayers})
+	servers[1].Accelerator, servers[1].Zone = "fast", "a"
+	table := newTestTable(servers, 1)
+	table.Report(savoryengine.Load{Server: "0-11/0", Running: 40, Queued: 4000}, start)
+	choice, err := table.Choose(request(table), start)
+	is.NoErr(err)
+	is.Equal(Servers(choice.Chain), "0-11/1")
+	// A minute later the report says nothing any more: what counts is the work
+	// that the entry itself has there.
+	for range 30 {
+		choice, err = table.Choose(request(table), start)
+		is.NoErr(err)
+		table.Sent(choice, 400, start)
+	}
+	later := start.Add(time.Minute)
+	choice, err = table.Choose(request(table), later)
+	is.NoErr(err)
+	is.Equal(Servers(choice.Chain), "0-11/0")
+}
+
+func TestOverloadIsRefusedWithTime(t *testing.T) {
+	is := is.New(t)
+	table := newTestTable(newServers(1, savoryworld.LayerRange{To: testLayers}), 1)
+	table.Report(savoryengine.Load{Server: "0-11/0", Queued: 100_000}, start)
+	req := request(table)
+	req.Begun = false
+	_, err := table.Choose(req, start)
+	var overload *OverloadError
+	is.True(errors.As(err, &overload))
+	is.True(overload.RetryAfter() > 0)
+	// A request that was admitted before is not refused.
+	req.Begun = true
+	_, err = table.Choose(req, start)
+	is.NoErr(err)
+}
+
+// The margin settles where latePart of first tokens are late.
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	var p pace
+	for range 10 {
+		p.observe(2*second, second)
+	}
+	high := p.margin()
+	is.True(high > 1)
+	for range 10_000 {
+		p.observe(second/2, second)
+	}
+	is.Equal(p.margin(), 1.0)
+}
+
+func TestChooseService(t *testing.T) {
+	is := is.New(t)
+	servers := []savoryworld.BackendServer{
+		{Name: "d1", Service: "dispatch", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:1")},
+		{Name: "d2", Service: "dispatch", Zone: "b", Address: netip.MustParseAddrPort("127.0.0.1:2")},
+	}
+	table := newTestTable(servers, 1)
+	choice, err := table.ChooseService("dispatch", nil, start)
+	is.NoErr(err)
+	is.Equal(choice.Server.Name, "d1") // nearer
+	table.SentService("d1")
+	choice, err = table.ChooseService("dispatch", nil, start)
+	is.NoErr(err)
+	is.Equal(choice.Server.Name, "d2") // fewer in flight
+	table.Failed("d2", start)
+	choice, err = table.ChooseService("dispatch", nil, start)
+	is.NoErr(err)
+	is.Equal(choice.Server.Name, "d1") // trusted
+	table.SetLeaving("d1", true)
+	_, err = table.ChooseService("dispatch", []string{"d2"}, start)
+	is.True(errors.Is(err, ErrNoServer))
+}
+
+// What is known of a server survives a new revision, unless its address
+// changed.
+func TestLoadKeepsState(t *testing.T) {
+	is := is.New(t)
+	servers := newServers(2, savoryworld.LayerRange{To: testLayers})
+	table := newTestTable(servers, 1)
+	table.Failed("0-11/0", start)
+	table.Failed("0-11/1", start)
+	moved := slices.Clone(servers)
+	moved[1].Address = netip.MustParseAddrPort("127.0.0.1:99")
+	doc := *table.snapshot.Document
+	doc.BackendServers = moved
+	table.Load(savoryconfig.NewSnapshot(&savoryconfig.Root{Revision: 2}, &doc))
+	is.True(table.states["0-11/0"].suspect(start))
+	is.True(!table.states["0-11/1"].suspect(start))
+}
