--- a/savorycore/savorychain/choose_test.go
+++ b/savorycore/savorychain/choose_test.go
@@ -39,7 +39,7 @@
 	return servers
 }
 
-func newTestTable(servers []savoryworld.BackendServer, seed uint64) *Table {
+func newTestTable(servers []savoryworld.BackendServer) *Table {
 	ms := func(n int) savoryworld.Duration { return savoryworld.Duration(time.Duration(n) * time.Millisecond) }
 	doc := &savoryconfig.Document{
 		Zones:          []savoryworld.AvailabilityZone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
@@ -48,7 +48,7 @@
 		Pipelines:      []savoryworld.Pipeline{{Name: "p", Model: "m", Version: "v", Layers: testLayers, ActivationBytes: 1 << 10, FirstToken: savoryworld.Duration(second), BetweenTokens: ms(72), MaxTokens: 99}},
 		BackendServers: servers,
 	}
-	t := &Table{Entry: "e", Zone: "a", Rand: rand.New(rand.NewPCG(seed, 1)), Sample: DefaultSample, Subset: DefaultSubset}
+	t := &Table{Entry: "e", Zone: "a", Rand: rand.New(rand.NewPCG(1, 1)), Sample: DefaultSample, Subset: DefaultSubset}
 	t.Load(savoryconfig.NewSnapshot(&savoryconfig.Root{Revision: 1}, doc))
 	return t
 }
@@ -63,7 +63,7 @@
 func TestChosenChainsCover(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ranges := []savoryworld.LayerRange{{To: 4}, {From: 4, To: 9}, {From: 9, To: testLayers}, {From: 4, To: testLayers}, {To: 9}}
-		table := newTestTable(newServers(rapid.IntRange(1, 9).Draw(t, "n"), ranges...), 1)
+		table := newTestTable(newServers(rapid.IntRange(1, 9).Draw(t, "n"), ranges...))
 		var names []string
 		for name := range table.states {
 			names = append(names, name)
@@ -130,7 +130,7 @@
 
 func TestNoChainWithoutStage(t *testing.T) {
 	is := is.New(t)
-	table := newTestTable(newServers(2, savoryworld.LayerRange{To: 4}, savoryworld.LayerRange{From: 5, To: testLayers}), 1)
+	table := newTestTable(newServers(2, savoryworld.LayerRange{To: 4}, savoryworld.LayerRange{From: 5, To: testLayers}))
 	_, err := table.Choose(request(table), start)
 	is.True(errors.Is(err, ErrNoChain))
 }
@@ -141,7 +141,7 @@
 	is := is.New(t)
 	servers := newServers(2, savoryworld.LayerRange{To: testLayers})
 	servers[1].Accelerator, servers[1].Zone = "fast", "a"
-	table := newTestTable(servers, 1)
+	table := newTestTable(servers)
 	table.Report(savoryengine.Load{Server: "0-11/0", Running: 40, Queued: 4000}, start)
 	choice, err := table.Choose(request(table), start)
 	is.NoErr(err)
@@ -161,7 +161,7 @@
 
 func TestOverloadIsRefusedWithTime(t *testing.T) {
 	is := is.New(t)
-	table := newTestTable(newServers(1, savoryworld.LayerRange{To: testLayers}), 1)
+	table := newTestTable(newServers(1, savoryworld.LayerRange{To: testLayers}))
 	table.Report(savoryengine.Load{Server: "0-11/0", Queued: 100_000}, start)
 	req := request(table)
 	req.Begun = false
@@ -196,7 +196,7 @@
 		{Name: "d1", Service: "dispatch", Zone: "a", Address: netip.MustParseAddrPort("127.0.0.1:1")},
 		{Name: "d2", Service: "dispatch", Zone: "b", Address: netip.MustParseAddrPort("127.0.0.1:2")},
 	}
-	table := newTestTable(servers, 1)
+	table := newTestTable(servers)
 	choice, err := table.ChooseService("dispatch", nil, start)
 	is.NoErr(err)
 	is.Equal(choice.Server.Name, "d1") // nearer
@@ -218,7 +218,7 @@
 func TestLoadKeepsState(t *testing.T) {
 	is := is.New(t)
 	servers := newServers(2, savoryworld.LayerRange{To: testLayers})
-	table := newTestTable(servers, 1)
+	table := newTestTable(servers)
 	table.Failed("0-11/0", start)
 	table.Failed("0-11/1", start)
 	moved := slices.Clone(servers)
