--- a/savorycore/savorychain/pace.go
+++ b/savorycore/savorychain/pace.go
@@ -9,7 +9,9 @@
 	latePart = 0.03
 	// paceStep is the relative step of the margin after a late first token.
 	paceStep = 0.2
-	// maxMargin bounds the margin.
+	// minMargin and maxMargin bound the margin. It falls below 1 where the
+	// estimates are too high, as at a site with one entry.
+	minMargin = 0.5
 	maxMargin = 3
 )
 
@@ -22,8 +24,8 @@
 	excess float64
 }
 
-// margin returns the factor by which an estimate is raised before it is
-// compared with the bound, at least 1.
+// margin returns the factor by which an estimate is multiplied before it is
+// compared with the bound.
 func (p *pace) margin() float64 { return 1 + p.excess }
 
 // observe takes the time of a first token and its bound.
@@ -32,5 +34,5 @@
 		p.excess = min(maxMargin-1, p.excess+paceStep)
 		return
 	}
-	p.excess = max(0, p.excess-paceStep*latePart/(1-latePart))
+	p.excess = max(minMargin-1, p.excess-paceStep*latePart/(1-latePart))
 }
--- /dev/null
+++ b/savorystand/leaving.go
@@ -0,0 +1,122 @@
+package main
+
+// This file defines the measurement of how soon a leaving backend server gets
+// no new work.
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savoryentry/savorynode"
+	"savorycart.example/savorystand/savorysite"
+)
+
+const (
+	leavingRounds = 5
+	// leavingWait bounds the wait for one mark.
+	leavingWait = 30 * time.Second
+	// leavingPoll is the time between two looks at an entry.
+	leavingPoll = 2 * time.Millisecond
+)
+
+// leavingSignal is one way to say that a backend server leaves.
+type leavingSignal struct {
+	name   string
+	server string
+	give   func(*savorysite.Site) error
+}
+
+func leavingSignals() []leavingSignal {
+	return []leavingSignal{
+		{"operator", "engine-0a", func(s *savorysite.Site) error {
+			_, err := s.Nodes[0].Operator(savorysite.TeamToken("models")).Leave(context.Background(), "engine-0a", true)
+			return err
+		}},
+		{"document", "engine-1a", func(s *savorysite.Site) error {
+			for i := range s.Document.BackendServers {
+				if s.Document.BackendServers[i].Name == "engine-1a" {
+					s.Document.BackendServers[i].Leaving = true
+				}
+			}
+			_, err := s.Nodes[1].Submit(context.Background(), savoryconfig.BackendServers, "models", 1, s.Document)
+			return err
+		}},
+		{"VM list", "engine-2a", func(s *savorysite.Site) error {
+			for _, server := range s.Document.BackendServers {
+				if server.Name == "engine-2a" {
+					s.Platform.SetVM(savoryworld.VM{Address: server.Address, Zone: server.Zone, Region: "limpopo", State: savoryworld.VMLeaving})
+				}
+			}
+			return nil
+		}},
+		{"engine's own status", "engine-2b", func(s *savorysite.Site) error {
+			s.Engine("engine-2b").SetLeaving(true)
+			return nil
+		}},
+	}
+}
+
+// measureLeaving prints the time from each signal until every entry gives the
+// server no new work.
+func measureLeaving() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SIGNAL\tROUNDS\tMEAN\tMOST")
+	for _, signal := range leavingSignals() {
+		var sum, most time.Duration
+		for range leavingRounds {
+			took, err := leavingRound(signal)
+			if err != nil {
+				return err
+			}
+			sum += took
+			most = max(most, took)
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", signal.name, leavingRounds, (sum / leavingRounds).Round(time.Millisecond), most.Round(time.Millisecond))
+	}
+	return w.Flush()
+}
+
+func leavingRound(signal leavingSignal) (time.Duration, error) {
+	site := &savorysite.Site{
+		Entries: todayNodes, EnginesPerStage: 3, ServiceServers: 1, Log: savorylog.Discard(),
+		Tune: func(s *savorynode.Settings) { s.Orders.Enabled = true },
+	}
+	defer site.Stop()
+	if err := site.Start(); err != nil {
+		return 0, err
+	}
+	// The entries have heard one another before the signal.
+	time.Sleep(2 * time.Second)
+	begun := time.Now()
+	if err := signal.give(site); err != nil {
+		return 0, err
+	}
+	for time.Since(begun) < leavingWait {
+		if leavesEverywhere(site, signal.server) {
+			return time.Since(begun), nil
+		}
+		time.Sleep(leavingPoll)
+	}
+	return 0, fmt.Errorf("%s: not known everywhere after %s", signal.name, leavingWait)
+}
+
+func leavesEverywhere(site *savorysite.Site, server string) bool {
+	for _, e := range site.Nodes {
+		status, err := e.Operator("").Status(context.Background())
+		if err != nil {
+			return false
+		}
+		for _, s := range status.Servers {
+			if s.Server == server && !s.Leaving {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/savorystand/main.go
+++ b/savorystand/main.go
@@ -30,6 +30,7 @@
 		{"measure", "compare routing policies in virtual time", runMeasure},
 		{"keys", "make certificates for a trial", runKeys},
 		{"document", "print a document of a given size", runDocument},
+		{"load", "send a bounded load to running entries", runLoad},
 		{"platform", "run the stand-in of the platform", runPlatform},
 		{"engine", "run the stand-in of a model engine", runEngine},
 		{"service", "run the stand-in of a plain service", runService},
