--- a/savorycore/savorylimit/fairness.go
+++ b/savorycore/savorylimit/fairness.go
@@ -6,7 +6,7 @@
 const (
 	// leastPatience is the least part of the bound on the first token that a
 	// customer above its fair share is admitted up to.
-	leastPatience = 0.5
+	leastPatience = 0.4
 	// fairRoom is the factor of its fair share up to which a customer counts as
 	// within it.
 	fairRoom = 1.5
