Ask for the lease of idempotency keys at once, and split the spreader

Cause: the script claims failed once on a busy machine: the first request under a key came before the entry's first lease, whose grant is tried every 0.5 s, and was refused as StoreOut although the store answered.

After: a request without a lease asks for it at once, at most every 0.5 s while the store fails; the status shows whether a lease is held, and sites of tests wait for it.

Conclusion: the flaw and the flake had one cause.

--- a/savorycore/savoryadmin/message.go
+++ b/savorycore/savoryadmin/message.go
@@ -33,7 +33,10 @@
 	NotReady string `json:",omitempty"`
 	Draining bool
 	// Watcher says that the entry watches the store for its zone.
-	Watcher  bool
+	Watcher bool
+	// Keys says that the entry holds a lease for the records of idempotency
+	// keys; without one it asks for it at the next request under a key.
+	Keys     bool
 	InFlight int
 	Peers    []PeerStatus
 	Servers  []savorychain.ServerStatus
--- a/savorycore/savoryengine/client.go
+++ b/savorycore/savoryengine/client.go
@@ -7,10 +7,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -46,7 +44,7 @@
 	first := r.Chain[0]
 	resp, err := c.post(ctx, first.Address, PathRun, r, nil)
 	if err != nil {
-		return &FaultError{Verdict: DialVerdict(err), Server: first.Server, Message: err.Error()}
+		return &FaultError{Verdict: savoryverdict.OfDial(err), Server: first.Server, Message: err.Error()}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -79,7 +77,7 @@
 	defer cancel()
 	resp, err := c.post(ctx, address, path, req, header)
 	if err != nil {
-		return &FaultError{Verdict: DialVerdict(err), Server: address.String(), Message: err.Error()}
+		return &FaultError{Verdict: savoryverdict.OfDial(err), Server: address.String(), Message: err.Error()}
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
@@ -112,16 +110,6 @@
 	return client.Do(httpReq)
 }
 
-// DialVerdict returns NotRun if err says that no connection was made, and
-// MayHaveRun otherwise.
-func DialVerdict(err error) savoryverdict.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return savoryverdict.NotRun
-	}
-	return savoryverdict.MayHaveRun
-}
-
 func readFault(resp *http.Response, server string) error {
 	fault := &FaultError{Verdict: savoryverdict.MayHaveRun, Server: server}
 	dec := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes))
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -16,7 +16,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -304,7 +303,7 @@
 	if err != nil {
 		// The connection may have gone silent: the next call opens another.
 		s.client.CloseIdleConnections()
-		return &Error{Op: op, Verdict: dialVerdict(err), Err: err}
+		return &Error{Op: op, Verdict: savoryverdict.OfDial(err), Err: err}
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
@@ -335,15 +334,6 @@
 	return s.client.Do(req)
 }
 
-// dialVerdict returns NotRun if err says that no connection was made.
-func dialVerdict(err error) savoryverdict.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return savoryverdict.NotRun
-	}
-	return savoryverdict.MayHaveRun
-}
-
 func swapTxn(swap Swap) TxnRequest {
 	key := []byte(swap.Key)
 	write := RequestOp{Put: &PutRequest{Key: key, Value: swap.Body, Lease: swap.Lease}}
--- a/savorycore/savoryverdict/verdict.go
+++ b/savorycore/savoryverdict/verdict.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 )
@@ -76,6 +77,16 @@
 	return MayHaveRun
 }
 
+// OfDial returns NotRun if err says that no connection was made, and MayHaveRun
+// otherwise.
+func OfDial(err error) Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return NotRun
+	}
+	return MayHaveRun
+}
+
 // Wrap returns err as an *Error, giving one of unknown origin the status 502
 // and the verdict MayHaveRun.
 func Wrap(err error) *Error {
--- a/savoryentry/savorynode/admin.go
+++ b/savoryentry/savorynode/admin.go
@@ -52,6 +52,7 @@
 	spread   *spreader
 	metrics  *metrics
 	flights  *flights
+	claims   *claimRunner
 	ready    func() error
 	drain    func()
 }
@@ -105,6 +106,7 @@
 		status.NotReady = err.Error()
 	}
 	status.Ready = status.NotReady == ""
+	_, status.Keys = a.claims.heldLease()
 	if s := a.keeper.snapshot(); s != nil {
 		for _, section := range savoryconfig.Sections() {
 			owner, _ := s.Document.Owner(section)
--- a/savoryentry/savorynode/claims.go
+++ b/savoryentry/savorynode/claims.go
@@ -35,6 +35,11 @@
 	metrics *metrics
 	settler *settler
 
+	// granting is held while a request waits for the first lease; refusedAt,
+	// which it guards, is when that last failed.
+	granting  sync.Mutex
+	refusedAt time.Time
+
 	mu       sync.Mutex
 	lease    savorystore.Lease
 	leasedAt time.Time
@@ -66,7 +71,7 @@
 
 // create writes a record if the key is absent.
 func (c *claimRunner) create(ctx context.Context, key string, record *savoryclaim.Record) savoryclaim.StoreAnswer {
-	lease, err := c.currentLease()
+	lease, err := c.currentLease(ctx)
 	if err != nil {
 		return savoryclaim.StoreAnswer{Failed: true, Untouched: true}
 	}
@@ -83,7 +88,7 @@
 	ctx = context.WithoutCancel(ctx)
 	swap := savorystore.Swap{Key: key, Old: old}
 	if record != nil {
-		lease, err := c.currentLease()
+		lease, err := c.currentLease(ctx)
 		if err != nil {
 			return savoryclaim.StoreAnswer{Failed: true, Untouched: true}
 		}
@@ -130,14 +135,34 @@
 }
 
 // currentLease returns the lease for new records. Without one it is an error:
-// a record that nothing ever deletes would fill the store.
-func (c *claimRunner) currentLease() (int64, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lease.ID == 0 || c.now().Sub(c.leasedAt) > 2*leaseRotation {
+// a record that nothing ever deletes would fill the store. An entry that has
+// just started asks for one at once, but not again soon after a failure.
+func (c *claimRunner) currentLease(ctx context.Context) (int64, error) {
+	if id, ok := c.heldLease(); ok {
+		return id, nil
+	}
+	c.granting.Lock()
+	defer c.granting.Unlock()
+	if id, ok := c.heldLease(); ok {
+		return id, nil
+	}
+	if c.now().Sub(c.refusedAt) < leaseCheck {
 		return 0, errNoLease
 	}
-	return c.lease.ID, nil
+	c.renewLease(ctx)
+	if id, ok := c.heldLease(); ok {
+		return id, nil
+	}
+	c.refusedAt = c.now()
+	return 0, errNoLease
+}
+
+// heldLease returns the lease that is held, unless it is too old.
+func (c *claimRunner) heldLease() (int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.lease.ID != 0 && c.now().Sub(c.leasedAt) <= 2*leaseRotation
+	return c.lease.ID, held
 }
 
 // leaseLoop grants a new lease in time, and after a failed write, since the
--- /dev/null
+++ b/savoryentry/savorynode/follow.go
@@ -0,0 +1,223 @@
+package savorynode
+
+// This file defines how the spreader follows the platform's store and VM list.
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// pollLoop reads the root from time to time: a watcher often, since it finds
+// what a silent watch does not tell, the others seldom, in case no watcher is
+// left in their zone.
+func (s *spreader) pollLoop(t *tomb.Tomb) error {
+	var polledAt time.Time
+	seen := make(map[string]int64)
+	for {
+		now := s.now()
+		if s.isWatcher() || s.keeper.revision() == 0 || now.Sub(polledAt) >= rarePollInterval {
+			s.poll(t.Context(context.Background()), seen)
+			polledAt = now
+		}
+		if !sleep(t, storePollInterval) {
+			return nil
+		}
+	}
+}
+
+// poll looks at the revisions of the root and the marks in the store, and reads
+// those that changed since the last look.
+func (s *spreader) poll(ctx context.Context, seen map[string]int64) {
+	keys, err := s.store.List(ctx, watchedPrefix)
+	if err != nil {
+		return
+	}
+	s.storeAt.Store(s.now().UnixNano())
+	var changed []string
+	for _, key := range keys {
+		if key.Revision != seen[key.Key] {
+			changed = append(changed, key.Key)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	values, err := s.store.GetMany(ctx, changed)
+	if err != nil {
+		return
+	}
+	for _, v := range values {
+		if s.watched(ctx, v) {
+			seen[v.Key] = v.Revision
+		}
+	}
+}
+
+// takeStored puts a root read from the store in force and hands it on. If the
+// store was set back to an older one it is healed. It reports whether the root
+// need not be read again.
+func (s *spreader) takeStored(ctx context.Context, root *savoryconfig.Root) bool {
+	if root.Revision < s.keeper.revision() {
+		return s.heal(ctx)
+	}
+	fresh, err := s.keeper.apply(root, nil, s.config.fetch(ctx), "store")
+	if err != nil {
+		s.log.WithError(err).Error("revision refused")
+		return false
+	}
+	if fresh {
+		s.announceRevision(ctx)
+	}
+	return true
+}
+
+// heal writes the root in force over an older one in the store. It reports
+// whether the store is known to hold it.
+func (s *spreader) heal(ctx context.Context) bool {
+	healed, err := s.config.heal(ctx, s.keeper)
+	if err != nil {
+		s.log.WithError(err).Warn("store not healed")
+		return false
+	}
+	if healed {
+		s.log.WithField("revision", s.keeper.revision()).Error("the store showed an older revision; the one in force was written over it")
+	}
+	return true
+}
+
+func (s *spreader) takeStoredMark(ctx context.Context, v savorystore.Value) {
+	mark, err := decodeMark(v.Body)
+	if err != nil {
+		s.log.WithError(err).WithField("key", v.Key).Error("mark refused")
+		return
+	}
+	s.announceMarks(ctx, []savorymember.Mark{mark})
+}
+
+// watchLoop holds a watch while the entry is a watcher.
+func (s *spreader) watchLoop(t *tomb.Tomb) error {
+	for {
+		if s.isWatcher() {
+			s.watch(t)
+		}
+		if !sleep(t, watchPause) {
+			return nil
+		}
+	}
+}
+
+// watch follows changes until the watch breaks or the entry is no longer a
+// watcher.
+func (s *spreader) watch(t *tomb.Tomb) {
+	ctx, cancel := context.WithCancel(t.Context(context.Background()))
+	defer cancel()
+	go func() {
+		for s.isWatcher() && pause(ctx, storePollInterval) {
+		}
+		cancel()
+	}()
+	err := s.store.Watch(ctx, watchedPrefix, 0, func(v savorystore.Value) { _ = s.watched(ctx, v) })
+	if err != nil && ctx.Err() == nil {
+		s.log.WithError(err).Warn("watch broken")
+	}
+}
+
+// watched takes a watched key and reports whether it need not be read again.
+func (s *spreader) watched(ctx context.Context, v savorystore.Value) bool {
+	s.storeAt.Store(s.now().UnixNano())
+	switch {
+	case v.Body == nil:
+		return true
+	case v.Key == rootKey:
+		root, err := savoryconfig.DecodeRoot(v.Body)
+		if err != nil {
+			s.log.WithError(err).Error("root refused")
+			return true
+		}
+		return s.takeStored(ctx, root)
+	case strings.HasPrefix(v.Key, markPrefix):
+		s.takeStoredMark(ctx, v)
+	}
+	return true
+}
+
+func (s *spreader) isWatcher() bool {
+	watcher := false
+	s.tables.members.with(func(m *memberState) { watcher = m.table.IsWatcher(s.now()) })
+	return watcher
+}
+
+// listLoop reads the entries, and in a watcher the backend servers' VMs of the
+// own zone.
+func (s *spreader) listLoop(t *tomb.Tomb) error {
+	for {
+		ctx := t.Context(context.Background())
+		s.readEntries(ctx)
+		interval := otherListInterval
+		if s.isWatcher() {
+			s.readWorkers(ctx)
+			interval = watcherListInterval
+		}
+		if !sleep(t, interval) {
+			return nil
+		}
+	}
+}
+
+// readEntries reads which entries the platform lists.
+func (s *spreader) readEntries(ctx context.Context) {
+	vms, err := s.entryVMs.Read(ctx)
+	if err != nil {
+		s.log.WithError(err).Debug("VM list not read")
+		return
+	}
+	s.tables.listVMs(vms, s.now())
+	others := 0
+	for _, vm := range vms {
+		if vm.Address != s.self.Address {
+			others++
+		}
+	}
+	s.listed.Store(int64(others))
+}
+
+// readWorkers marks the backend servers of the own zone whose VMs leave.
+func (s *spreader) readWorkers(ctx context.Context) {
+	vms, err := s.workerVMs.Read(ctx)
+	if err != nil {
+		s.log.WithError(err).Debug("VM list not read")
+		return
+	}
+	var marks []savorymember.Mark
+	for _, vm := range vms {
+		if mark, ok := s.listedMark(vm, s.now()); ok {
+			marks = append(marks, mark)
+		}
+	}
+	s.announceMarks(ctx, marks)
+}
+
+// listedMark returns the mark for a backend server's VM that is leaving. A mark
+// that is in force is renewed only near its end.
+func (s *spreader) listedMark(vm savoryworld.VM, now time.Time) (savorymember.Mark, bool) {
+	snapshot := s.keeper.snapshot()
+	if snapshot == nil || vm.State != savoryworld.VMLeaving {
+		return savorymember.Mark{}, false
+	}
+	server := snapshot.ServerAt(vm.Address)
+	if server == nil {
+		return savorymember.Mark{}, false
+	}
+	mark := savorymember.Mark{Server: server.Name, Source: savorymember.FromVMList, Leaving: true, At: now}
+	due := false
+	s.tables.members.with(func(m *memberState) { due = m.marks.Due(mark) })
+	return mark, due
+}
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -264,7 +264,7 @@
 	n.buildRunners()
 	n.admin = &admin{
 		settings: s, log: n.Log, now: n.Now, keeper: n.keeper, config: config, store: store, tables: n.tables,
-		spread: n.spread, metrics: n.metrics, flights: n.flights, ready: n.ready, drain: n.Drain,
+		spread: n.spread, metrics: n.metrics, flights: n.flights, claims: n.claims, ready: n.ready, drain: n.Drain,
 	}
 	n.orderer = &orderer{
 		settings: s.Orders, region: s.Region, name: s.Peers.Address.String(), store: store,
--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -20,7 +20,6 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryclaim"
-	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -252,7 +251,7 @@
 		finished()
 		s.serverFailed(ctx, server.Name)
 		return nil, &savoryverdict.Error{
-			Verdict: savoryengine.DialVerdict(err), Status: http.StatusBadGateway, Code: "BackendServerFailed",
+			Verdict: savoryverdict.OfDial(err), Status: http.StatusBadGateway, Code: "BackendServerFailed",
 			Message: "backend server " + server.Name + " did not answer", Err: err,
 		}
 	}
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -117,7 +117,18 @@
 	if err := s.bootstrap(); err != nil {
 		return err
 	}
-	return s.WaitRevision(1)
+	if err := s.WaitRevision(1); err != nil {
+		return err
+	}
+	return Eventually(readyTimeout, "every entry takes idempotency keys", func() bool {
+		for _, e := range s.Nodes {
+			status, err := e.Operator("").Status(context.Background())
+			if err != nil || !status.Keys {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 // Store returns a client of the platform's store.
