Prove that silent connections lose nothing

Cause: open connections can go silent for good while new ones work. Now all connections to the platform, between entries and to backend servers can be frozen in a running site. An idempotent request on a frozen kept connection waited for the route's whole time (30 s by default).

After: the header of its answer must come within a third of the route's time, and each further try opens a new connection, to the same server if there is no other. A call between entries ends after 1 s in place of 2 s.

Conclusion: silence costs time, not answers.

--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -37,7 +37,7 @@
 
 const (
 	// peerTimeout bounds a call to another entry.
-	peerTimeout = 2 * time.Second
+	peerTimeout = time.Second
 	// engineTimeout bounds a call to an engine that is not a run.
 	engineTimeout = 2 * time.Second
 	// dialTimeout bounds the opening of a connection to a backend server.
--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -183,10 +183,14 @@
 	var avoid []string
 	for try := 1; ; try++ {
 		server, err := s.choose(sc, avoid)
+		if err != nil && len(avoid) > 0 {
+			// The connection may have failed rather than the server.
+			server, err = s.choose(sc, nil)
+		}
 		if err != nil {
 			return nil, err
 		}
-		answer, err := s.sendTo(ctx, sc, server)
+		answer, err := s.sendTo(ctx, sc, server, try)
 		if err == nil {
 			return answer, nil
 		}
@@ -232,9 +236,14 @@
 	return choice.Server, nil
 }
 
-// sendTo sends the request to one server.
-func (s *serviceRunner) sendTo(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer) (*serviceAnswer, error) {
+// sendTo sends the request to one server. Only the first try of an idempotent
+// request goes over a kept connection, which may have gone silent; the header
+// of its answer must come in its part of the route's time.
+func (s *serviceRunner) sendTo(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer, try int) (*serviceAnswer, error) {
+	caller := ctx
+	ctx, cancel := context.WithCancel(ctx)
 	finished := func() {
+		cancel()
 		s.callers.tables.chains.with(func(t *savorychain.Table) { t.FinishedService(server.Name) })
 	}
 	req, err := s.request(ctx, sc, server)
@@ -244,12 +253,16 @@
 	}
 	transport := s.fresh
 	if sc.route.Idempotent {
-		transport = s.pooled
+		headerLate := time.AfterFunc(routeTimeout(sc.route)/serviceAttempts, cancel)
+		defer headerLate.Stop()
+		if try == 1 {
+			transport = s.pooled
+		}
 	}
 	resp, err := transport.RoundTrip(req) //nolint:bodyclose // closed by serviceAnswer.close
 	if err != nil {
 		finished()
-		s.serverFailed(ctx, server.Name)
+		s.serverFailed(caller, server.Name)
 		return nil, &savoryverdict.Error{
 			Verdict: savoryverdict.OfDial(err), Status: http.StatusBadGateway, Code: "BackendServerFailed",
 			Message: "backend server " + server.Name + " did not answer", Err: err,
--- a/savorystand/savorysite/document.go
+++ b/savorystand/savorysite/document.go
@@ -40,7 +40,7 @@
 			FirstToken: ms(770), BetweenTokens: ms(72), MaxTokens: 512,
 		}},
 		Routes: []savoryworld.Route{
-			{Name: "rosters", Path: "/rosters", Service: "dispatch", Methods: []string{"GET"}, Idempotent: true},
+			{Name: "rosters", Path: "/rosters", Service: "dispatch", Methods: []string{"GET"}, Idempotent: true, Timeout: ms(6000)},
 			{Name: "callouts", Path: "/callouts", Service: "dispatch", Methods: []string{"POST"}, KeyRequired: true},
 			{Name: "notes", Path: "/notes", Service: "dispatch", Methods: []string{"POST"}},
 		},
--- /dev/null
+++ b/savorystand/savorysite/freeze.go
@@ -0,0 +1,88 @@
+package savorysite
+
+// This file defines the listener whose connections can go silent.
+
+import (
+	"net"
+	"sync"
+)
+
+// freezingListener accepts connections that go silent on demand while new ones
+// work, as when something between the two ends has lost track of them.
+type freezingListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns map[*freezingConn]bool
+}
+
+func newFreezingListener(l net.Listener) *freezingListener {
+	return &freezingListener{Listener: l, conns: make(map[*freezingConn]bool)}
+}
+
+// Accept waits for a connection.
+func (l *freezingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &freezingConn{Conn: conn, listener: l, frozen: make(chan struct{}), closed: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = true
+	return c, nil
+}
+
+// freeze makes all open connections silent and returns their number.
+func (l *freezingListener) freeze() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.conns)
+	for c := range l.conns {
+		close(c.frozen)
+		delete(l.conns, c)
+	}
+	return n
+}
+
+// freezingConn neither reads nor writes once it is frozen, but stays open.
+type freezingConn struct {
+	net.Conn
+	listener *freezingListener
+	frozen   chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Read reads, or waits for the end of a frozen connection.
+func (c *freezingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.frozen:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+// Write writes; what a frozen connection is given is lost.
+func (c *freezingConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.frozen:
+		return len(p), nil
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+// Close closes the connection.
+func (c *freezingConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		delete(c.listener.conns, c)
+	})
+	return c.Conn.Close()
+}
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -69,9 +69,20 @@
 
 	platformAddress netip.AddrPort
 	servers         []*http.Server
+	freezing        []*freezingListener
 	peerBytes       atomic.Int64
 }
 
+// Freeze makes all open connections to the platform, between entries and to
+// backend servers silent, while new ones work. It returns their number.
+func (s *Site) Freeze() int {
+	n := 0
+	for _, l := range s.freezing {
+		n += l.freeze()
+	}
+	return n
+}
+
 // PeerBytes returns the bytes that entries exchanged with one another, framing
 // of TLS, HTTP/2 and gRPC included, counted once.
 func (s *Site) PeerBytes() int64 { return s.peerBytes.Load() }
@@ -176,7 +187,9 @@
 	if s.Tune != nil {
 		s.Tune(settings)
 	}
-	listeners.Peers = &countingListener{Listener: listeners.Peers, bytes: &s.peerBytes}
+	freezing := newFreezingListener(listeners.Peers)
+	s.freezing = append(s.freezing, freezing)
+	listeners.Peers = &countingListener{Listener: freezing, bytes: &s.peerBytes}
 	e.Node = &savorynode.Node{Settings: settings, Log: s.Log.WithField("entry", e.Peers), Listeners: listeners}
 	s.Nodes = append(s.Nodes, e)
 	s.Platform.SetVM(savoryworld.VM{Address: e.Peers, Zone: zone, Region: "limpopo", State: savoryworld.VMLive, Entry: true})
@@ -331,9 +344,11 @@
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout, ErrorLog: nil}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
+	freezing := newFreezingListener(l)
 	s.servers = append(s.servers, server)
-	go func() { _ = server.Serve(l) }()
+	s.freezing = append(s.freezing, freezing)
+	go func() { _ = server.Serve(freezing) }()
 	return address, nil
 }
 
--- a/savorystand/script_test.go
+++ b/savorystand/script_test.go
@@ -59,6 +59,7 @@
 			"holds":    onScript((*script).checkHolds),
 			"keep":     onScript((*script).keepRoot),
 			"restore":  onScript((*script).restoreRoot),
+			"freeze":   onScript((*script).freeze),
 			"flood":    onScript((*script).flood),
 			"healed":   onScript((*script).checkHealed),
 		},
@@ -398,6 +399,14 @@
 	})
 }
 
+// freeze makes all open connections silent, while new ones work.
+func (s *script) freeze([]string) error {
+	if n := s.world.Freeze(); n == 0 {
+		return errors.New("no connection was open")
+	}
+	return nil
+}
+
 // flood ENTRY N sends N requests under keys at once and waits for the answers.
 func (s *script) flood(args []string) error {
 	caller, err := s.caller(args[0])
