Let the called entry catch up on marks too

Cause: in a small fleet one exchange serves both entries, and only the caller fetched marks that it lacked.

After: the called entry compares the digest of the marks and fetches too.

--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -295,7 +295,10 @@
 
 func (s *spreader) handleExchange(_ context.Context, hello *savorypeer.Hello) (*savorypeer.Hello, error) {
 	s.heard(hello)
-	if hello.Revision > s.keeper.revision() {
+	// The entry that is called catches up too: of two entries it may always be
+	// the same one that calls.
+	_, digest := s.tables.allMarks(s.now())
+	if hello.Revision > s.keeper.revision() || hello.MarkDigest != digest {
 		s.pool.submit(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), s.peers.Timeout)
 			defer cancel()
