Put an eased bound back, and measure what the capacity page estimated

Bytes of single calls in docs/CAPACITY.md were guesses, figures on prefixes were older than the policy, and batches of 32 do not fit as claimed. A test named for the file in an error did not look at it.

--- a/savorycore/savorychain/status.go
+++ b/savorycore/savorychain/status.go
@@ -30,3 +30,17 @@
 	slices.SortFunc(status, func(a, b ServerStatus) int { return cmp.Compare(a.Server, b.Server) })
 	return status
 }
+
+// Waiting returns the estimated number of prompt tokens that wait at the engines
+// that this entry uses.
+func (t *Table) Waiting(now time.Time) int {
+	tokens := 0
+	for _, groups := range t.groups {
+		for _, g := range groups {
+			for _, s := range g.members {
+				tokens += s.load(now).Prompt
+			}
+		}
+	}
+	return tokens
+}
--- a/savorycore/savorylimit/limiter_test.go
+++ b/savorycore/savorylimit/limiter_test.go
@@ -100,7 +100,7 @@
 // The bounds are those that docs/DESIGN.md states: in steady state at most the
 // contract and at least nine tenths of it where the demand is there; while
 // demand moves, entries are cut apart or a new one knows nothing, never more
-// than one contract and a half over ten seconds, and at least six tenths where
+// than one contract and a half over ten seconds, and at least seven tenths where
 // the demand has moved.
 func TestContractOverEntries(t *testing.T) {
 	full := labRate * labWindow.Seconds()
@@ -139,7 +139,7 @@
 		l.run(one)
 		got := float64(l.run(other))
 		is.True(got <= 1.5*full)
-		is.True(got >= 0.6*full)
+		is.True(got >= 0.7*full)
 	})
 	t.Run("from nothing", func(t *testing.T) {
 		is := is.New(t)
--- a/savorycore/savorytls/files_test.go
+++ b/savorycore/savorytls/files_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,4 +132,5 @@
 	l := &savorytls.Loader{Files: savorytls.Files{Certificate: "/nowhere/certificate.pem", Key: "/nowhere/key.pem"}}
 	err := l.Load()
 	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "/nowhere/certificate.pem"))
 }
--- a/savoryentry/savorynode/metrics.go
+++ b/savoryentry/savorynode/metrics.go
@@ -21,6 +21,7 @@
 	betweenTokens prometheus.Histogram
 	recovery      prometheus.Histogram
 	inFlight      prometheus.Gauge
+	queue         prometheus.Gauge
 	retries       *prometheus.CounterVec
 	tokens        *prometheus.CounterVec
 	claims        *prometheus.CounterVec
@@ -41,6 +42,7 @@
 		betweenTokens: latency("between_tokens_seconds", "Time between two tokens.", prometheus.ExponentialBuckets(0.001, 1.6, 16)),
 		recovery:      latency("recovery_seconds", "Time from the last token before a failure to the next token.", prometheus.ExponentialBuckets(0.01, 1.8, 14)),
 		inFlight:      gauge("requests_in_flight", "Requests in flight."),
+		queue:         gauge("queue_tokens", "Estimated prompt tokens that wait at the engines that this entry uses."),
 		retries:       counter("retries_total", "Further attempts by reason.", "reason"),
 		tokens:        counter("tokens_total", "Tokens by what was decided on them.", "outcome"),
 		claims:        counter("claims_total", "Requests under an idempotency key by outcome.", "outcome"),
@@ -52,7 +54,7 @@
 		connections:   gauge("caller_connections", "Open connections of callers."),
 		orders:        counter("orders_total", "Orders to engines by result.", "result"),
 	}
-	m.registry.MustRegister(m.requests, m.firstToken, m.betweenTokens, m.recovery, m.inFlight, m.retries,
+	m.registry.MustRegister(m.requests, m.firstToken, m.betweenTokens, m.recovery, m.inFlight, m.queue, m.retries,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.tokens, m.claims, m.revision, m.changeDelay, m.storeCalls, m.peersLive, m.peerBytes, m.connections, m.orders)
 	return m
--- a/savoryentry/savorynode/spread.go
+++ b/savoryentry/savorynode/spread.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"gopkg.in/tomb.v2"
 
+	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savorypeer"
@@ -112,6 +113,7 @@
 		live = len(m.table.Live(now))
 	})
 	s.metrics.peersLive.Set(float64(live))
+	s.tables.chains.with(func(t *savorychain.Table) { s.metrics.queue.Set(float64(t.Waiting(now))) })
 	traffic := s.peers.Traffic()
 	s.metrics.peerBytes.WithLabelValues("sent").Set(float64(traffic.SentBytes))
 	s.metrics.peerBytes.WithLabelValues("received").Set(float64(traffic.ReceivedBytes))
--- a/savorystand/measure.go
+++ b/savorystand/measure.go
@@ -37,6 +37,7 @@
 		{"customers", measureCustomers},
 		{"contracts", func(func() savorylab.Lab) error { return measureContracts(*seed) }},
 		{"recovery", func(func() savorylab.Lab) error { return measureRecovery() }},
+		{"messages", func(func() savorylab.Lab) error { return measureMessages() }},
 		{"leaving", func(func() savorylab.Lab) error { return measureLeaving() }},
 		{"slopes", func(func() savorylab.Lab) error { return runSlopes(*wall) }},
 	} {
--- a/savorystand/savorysite/listener.go
+++ b/savorystand/savorysite/listener.go
@@ -7,6 +7,12 @@
 	"sync/atomic"
 )
 
+// CountBytes returns a listener whose connections add the bytes that they read
+// and write to a total.
+func CountBytes(l net.Listener, bytes *atomic.Int64) net.Listener {
+	return &countingListener{Listener: l, bytes: bytes}
+}
+
 // countingListener adds the bytes of its connections to a total.
 type countingListener struct {
 	net.Listener
