--- /dev/null
+++ b/savorycore/savorylog/bounded.go
@@ -0,0 +1,99 @@
+package savorylog
+
+// This file defines Bounded, an output that never blocks its writers.
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// reportDrops is the interval at which dropped lines are reported.
+const reportDrops = 5 * time.Second
+
+// Bounded hands lines to W in the background. A line is dropped and counted if
+// the queue is full or the byte rate is used up. Its exported fields are set
+// before Run.
+type Bounded struct {
+	W io.Writer
+	// Lines is the length of the queue.
+	Lines int
+	// BytesPerSecond bounds the volume over time, Burst the bytes at once.
+	BytesPerSecond int
+	Burst          int
+
+	once    sync.Once
+	queue   chan []byte
+	limit   *rate.Limiter
+	dropped atomic.Int64
+}
+
+var _ io.Writer = (*Bounded)(nil)
+
+func (b *Bounded) prepare() {
+	b.once.Do(func() {
+		b.queue = make(chan []byte, b.Lines)
+		b.limit = rate.NewLimiter(rate.Limit(b.BytesPerSecond), b.Burst)
+	})
+}
+
+// Write queues a copy of line. It returns no error: a lost line must not fail
+// what it tells about.
+func (b *Bounded) Write(line []byte) (int, error) {
+	b.prepare()
+	if !b.limit.AllowN(time.Now(), len(line)) {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case b.queue <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of dropped lines.
+func (b *Bounded) Dropped() int64 { return b.dropped.Load() }
+
+// Run writes the queued lines until done is closed, then those that are left.
+func (b *Bounded) Run(done <-chan struct{}) error {
+	b.prepare()
+	ticker := time.NewTicker(reportDrops)
+	defer ticker.Stop()
+	reported := int64(0)
+	for {
+		select {
+		case line := <-b.queue:
+			if _, err := b.W.Write(line); err != nil {
+				return fmt.Errorf("log output: %w", err)
+			}
+		case <-ticker.C:
+			if n := b.dropped.Load(); n > reported {
+				if _, err := fmt.Fprintf(b.W, "level=warn message=\"log lines dropped\" lines=%d total=%d\n", n-reported, n); err != nil {
+					return fmt.Errorf("log output: %w", err)
+				}
+				reported = n
+			}
+		case <-done:
+			return b.flush()
+		}
+	}
+}
+
+func (b *Bounded) flush() error {
+	for {
+		select {
+		case line := <-b.queue:
+			if _, err := b.W.Write(line); err != nil {
+				return fmt.Errorf("log output: %w", err)
+			}
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/savorycore/savorypath/table.go
@@ -0,0 +1,416 @@
+// Package savorypath chooses the chain of engines that serves a request.
+//
+// Entries tell each other what they have sent to each engine, so the load of an
+// engine is known without asking it. The Table adds the own requests in flight
+// to what peers said last. A chain is found by dynamic programming over the
+// borders of the layers that engines hold: each engine costs the time of its
+// part of a token step, stretched by how full its memory for requests is.
+//
+// The package decides only: it does no I/O and reads no clock. Its types are
+// not safe for concurrent use.
+package savorypath
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	// peerLoadFresh is the age up to which a peer's load counts; a peer that is
+	// silent for longer has ended or lost its requests.
+	peerLoadFresh = 5 * time.Second
+	// farCost is the time added for a hop into another availability zone, above
+	// its delay: all chains share the link between zones.
+	farCost = 20 * time.Millisecond
+	// fullAt is the part of an engine's memory up to which requests are
+	// admitted; the rest absorbs answers that are longer than estimated.
+	fullAt = 0.92
+	// hopCost is the time of a hop inside a zone.
+	hopCost = 200 * time.Microsecond
+	// loadWeight stretches the cost of an engine whose memory is full.
+	loadWeight = 3.0
+)
+
+// Engine is one engine that holds layers.
+type Engine struct {
+	ID      string
+	Address netip.AddrPort
+	Zone    string
+	Holds   savoryworld.LayerRange
+	Kind    *savoryrouting.Accelerator
+	// Slow stretches the engine's times; 1 is its normal speed.
+	Slow float64
+}
+
+// Hop is one part of a chain.
+type Hop struct {
+	Server  string
+	Address netip.AddrPort
+	Layers  savoryworld.LayerRange
+}
+
+// Path is a chain of engines that covers all layers in order.
+type Path []Hop
+
+// String lists the hops for the log.
+func (p Path) String() string {
+	var b strings.Builder
+	for i, h := range p {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", h.Server, h.Layers.From, h.Layers.To)
+	}
+	return b.String()
+}
+
+// Uses reports whether the server is part of the path.
+func (p Path) Uses(server string) bool {
+	return slices.ContainsFunc(p, func(h Hop) bool { return h.Server == server })
+}
+
+// Load is what one entry has in flight at an engine.
+type Load struct {
+	Server string
+	// Requests is the number of requests, Memory their tokens times layers.
+	Requests int
+	Memory   float64
+}
+
+// Table knows the engines of one service and their load. Its exported fields
+// are set before its first use.
+type Table struct {
+	// Zone is the entry's availability zone.
+	Zone string
+
+	engine  *savoryrouting.Engine
+	engines []Engine
+	own     map[string]*Load
+	peers   map[string]peerLoad
+	total   map[string]Load
+}
+
+type peerLoad struct {
+	loads []Load
+	at    time.Time
+}
+
+// SetEngines takes the engines that may get new work.
+func (t *Table) SetEngines(e *savoryrouting.Engine, engines []Engine) {
+	t.engine = e
+	t.engines = engines
+}
+
+// SetPeer takes what a peer has in flight.
+func (t *Table) SetPeer(peer string, loads []Load, now time.Time) {
+	if t.peers == nil {
+		t.peers = make(map[string]peerLoad)
+	}
+	t.peers[peer] = peerLoad{loads: loads, at: now}
+	t.sum(now)
+}
+
+// sum adds up the peers' loads.
+func (t *Table) sum(now time.Time) {
+	t.total = make(map[string]Load)
+	for peer, p := range t.peers {
+		if now.Sub(p.at) > peerLoadFresh {
+			delete(t.peers, peer)
+			continue
+		}
+		for _, l := range p.loads {
+			s := t.total[l.Server]
+			s.Requests += l.Requests
+			s.Memory += l.Memory
+			t.total[l.Server] = s
+		}
+	}
+}
+
+// Own returns what this entry has in flight.
+func (t *Table) Own() []Load {
+	loads := make([]Load, 0, len(t.own))
+	for _, l := range t.own {
+		if l.Requests > 0 {
+			loads = append(loads, *l)
+		}
+	}
+	return loads
+}
+
+// Began counts a request of tokens on a path.
+func (t *Table) Began(p Path, tokens int) { t.count(p, tokens, 1) }
+
+// Ended takes it off.
+func (t *Table) Ended(p Path, tokens int) { t.count(p, tokens, -1) }
+
+func (t *Table) count(p Path, tokens, sign int) {
+	if t.own == nil {
+		t.own = make(map[string]*Load)
+	}
+	for _, h := range p {
+		l := t.own[h.Server]
+		if l == nil {
+			l = &Load{Server: h.Server}
+			t.own[h.Server] = l
+		}
+		l.Requests += sign
+		l.Memory += float64(sign * tokens * h.Layers.Count())
+		if l.Requests == 0 {
+			delete(t.own, h.Server)
+		}
+	}
+}
+
+// load returns the whole load of an engine.
+func (t *Table) load(server string) Load {
+	l := t.total[server]
+	if own := t.own[server]; own != nil {
+		l.Requests += own.Requests
+		l.Memory += own.Memory
+	}
+	return l
+}
+
+// Request is what a path is chosen for.
+type Request struct {
+	// Tokens is the expected memory of the request in tokens.
+	Tokens int
+	// Avoid lists servers that are not used.
+	Avoid func(server string) bool
+	// First, if set, names the server that must be the first hop.
+	First string
+}
+
+// Choice is a chosen path.
+type Choice struct {
+	Path Path
+	// Pass is the estimated time of one pass through the path.
+	Pass time.Duration
+	// Fill is the part of the fullest engine's memory that is taken.
+	Fill float64
+	// Zones is the number of zones in which a path was found.
+	Zones int
+}
+
+// The reasons why no path is chosen.
+var (
+	// ErrNoPath means that no chain of usable engines covers all layers.
+	ErrNoPath = errors.New("no chain of engines covers all layers")
+	// ErrFull means that chains exist but their memory is taken.
+	ErrFull = errors.New("the memory of all chains is taken")
+)
+
+// Choose returns the path with the least cost. Paths inside one zone are tried
+// first; a path over several zones is used only where no zone has its own.
+func (t *Table) Choose(r Request) (Choice, error) {
+	if t.engine == nil {
+		return Choice{}, ErrNoPath
+	}
+	if t.engine.Layers == 0 {
+		return Choice{}, ErrNoPath
+	}
+	byZone := make(map[string][]candidate)
+	var all []candidate
+	full := false
+	for i := range t.engines {
+		e := &t.engines[i]
+		if e.Holds.Empty() || e.Kind == nil || r.Avoid != nil && r.Avoid(e.ID) {
+			continue
+		}
+		c := t.candidate(e, r)
+		full = full || c.full
+		byZone[e.Zone] = append(byZone[e.Zone], c)
+		all = append(all, c)
+	}
+	best, cost := Choice{}, math.Inf(1)
+	zones := 0
+	for zone, candidates := range byZone {
+		path, c, fill := t.search(candidates, r, "")
+		if path == nil {
+			continue
+		}
+		zones++
+		if zone != t.Zone {
+			c += farEntry.Seconds()
+		}
+		if c < cost {
+			best, cost = Choice{Path: path, Fill: fill}, c
+		}
+	}
+	if best.Path == nil {
+		path, c, fill := t.search(all, r, t.Zone)
+		best, cost = Choice{Path: path, Fill: fill}, c
+	}
+	if best.Path == nil {
+		if full {
+			return Choice{}, ErrFull
+		}
+		return Choice{}, ErrNoPath
+	}
+	best.Zones = zones
+	best.Pass = time.Duration(cost * float64(time.Second))
+	return best, nil
+}
+
+// farEntry is the cost of beginning a chain in another zone than the entry's:
+// it outweighs small differences of load.
+const farEntry = 4 * time.Millisecond
+
+// candidate is an engine with its cost for each layer.
+type candidate struct {
+	*Engine
+	// perLayer is the time of one pass for each layer, in seconds.
+	perLayer float64
+	fill     float64
+	full     bool
+}
+
+func (t *Table) candidate(e *Engine, r Request) candidate {
+	l := t.load(e.ID)
+	room := t.engine.Room(e.Kind, e.Holds.Count())
+	fill := 1.0
+	if room > 0 {
+		fill = (l.Memory + float64(r.Tokens*e.Holds.Count())) / room
+	}
+	slow := max(1, e.Slow)
+	step := t.engine.StepTime.Seconds() + float64(l.Requests+1)*(t.engine.RequestTime.Seconds()+
+		t.engine.ContextTime.Seconds()*float64(r.Tokens)/1000)
+	perLayer := float64(max(1, t.engine.Stride)) * step * e.Kind.StepFactor * slow / float64(t.engine.Layers)
+	// The time of a part grows with the fill, since a full engine preempts.
+	perLayer *= 1 + loadWeight*fill*fill
+	return candidate{Engine: e, perLayer: perLayer, fill: fill, full: fill > fullAt}
+}
+
+// state is the cheapest way from a layer to the end.
+type state struct {
+	cost float64
+	use  int
+	to   int
+}
+
+// search returns the cheapest path over candidates that are not full, its cost
+// in seconds and its fill. Between zones each hop costs farCost; from is the
+// zone of the entry, or "" if all candidates are of one zone.
+func (t *Table) search(candidates []candidate, r Request, from string) (Path, float64, float64) {
+	layers := t.engine.Layers
+	var borders []int
+	for _, c := range candidates {
+		borders = append(borders, c.Holds.From, c.Holds.To)
+	}
+	borders = append(borders, 0, layers)
+	slices.Sort(borders)
+	borders = slices.Compact(borders)
+	// best[i][j] is the cheapest way from border i on if candidate j holds the
+	// layers after it.
+	at := make(map[int]int, len(borders))
+	for i, b := range borders {
+		at[b] = i
+	}
+	best := make([][]state, len(borders))
+	for i := range best {
+		best[i] = make([]state, len(candidates))
+	}
+	for i := len(borders) - 1; i >= 0; i-- {
+		for j := range candidates {
+			best[i][j] = t.step(candidates, best, borders, at, i, j)
+		}
+	}
+	first, cost := -1, math.Inf(1)
+	for j, c := range candidates {
+		s := best[0][j].cost
+		if r.First != "" && c.ID != r.First {
+			continue
+		}
+		if from != "" && c.Zone != from {
+			s += farCost.Seconds()
+		}
+		if s < cost {
+			first, cost = j, s
+		}
+	}
+	if first < 0 {
+		return nil, 0, 0
+	}
+	return follow(candidates, best, borders, first, layers, cost)
+}
+
+// step returns the cheapest way from border i if candidate j is used next.
+func (t *Table) step(candidates []candidate, best [][]state, borders []int, at map[int]int, i, j int) state {
+	c := &candidates[j]
+	none := state{cost: math.Inf(1), use: -1}
+	if c.full || borders[i] < c.Holds.From || borders[i] >= c.Holds.To {
+		return none
+	}
+	result := none
+	for k := i + 1; k < len(borders) && borders[k] <= c.Holds.To; k++ {
+		own := c.perLayer*float64(borders[k]-borders[i]) + hopCost.Seconds()
+		if borders[k] == t.engine.Layers {
+			if own < result.cost {
+				result = state{cost: own, use: -1, to: k}
+			}
+			continue
+		}
+		for n := range candidates {
+			if n == j {
+				continue
+			}
+			cost := own + best[k][n].cost
+			if candidates[n].Zone != c.Zone {
+				cost += farCost.Seconds()
+			}
+			if cost < result.cost {
+				result = state{cost: cost, use: n, to: k}
+			}
+		}
+	}
+	return result
+}
+
+// follow builds the path that begins with candidate j. A path that would use an
+// engine twice is refused.
+func follow(candidates []candidate, best [][]state, borders []int, j, layers int, cost float64) (Path, float64, float64) {
+	var path Path
+	fill := 0.0
+	for i := 0; borders[i] < layers; {
+		s := best[i][j]
+		c := candidates[j]
+		if path.Uses(c.ID) || len(path) == MaxHops {
+			return nil, 0, 0
+		}
+		path = append(path, Hop{Server: c.ID, Address: c.Address, Layers: savoryworld.LayerRange{From: borders[i], To: borders[s.to]}})
+		fill = max(fill, c.fill)
+		i, j = s.to, s.use
+		if j < 0 {
+			break
+		}
+	}
+	return path, cost, fill
+}
+
+// MaxHops is the most engines of one chain; engines refuse longer ones.
+const MaxHops = 32
+
+// Check returns an error unless the path covers layers 0 to layers-1 once and
+// in order.
+func (p Path) Check(layers int) error {
+	next := 0
+	for _, h := range p {
+		if h.Layers.From != next || h.Layers.Empty() {
+			return fmt.Errorf("path %s: layer %d does not follow", p, next)
+		}
+		next = h.Layers.To
+	}
+	if next != layers {
+		return fmt.Errorf("path %s: ends at layer %d of %d", p, next, layers)
+	}
+	return nil
+}
--- a/savorycore/savorypeer/server.go
+++ b/savorycore/savorypeer/server.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -18,6 +20,7 @@
 	methodExchange = "Exchange"
 	methodOffer    = "Offer"
 	methodFetch    = "Fetch"
+	methodSync     = "Sync"
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 16 << 20
 	// checkAfter is the time without a message after which a connection with a
@@ -37,6 +40,8 @@
 	Exchange    func(context.Context, *Hello) (*Hello, error)
 	Offer       func(context.Context, *Offer) (*Ack, error)
 	Fetch       func(context.Context, *Fetch) (*State, error)
+	// Sync answers the entries of a gate. Calls that are nil are refused.
+	Sync func(context.Context, *News) (*News, error)
 
 	grpc *grpc.Server
 }
@@ -76,6 +81,7 @@
 			method(methodExchange, s.Exchange),
 			method(methodOffer, s.Offer),
 			method(methodFetch, s.Fetch),
+			method(methodSync, s.Sync),
 		},
 	}
 }
@@ -84,6 +90,9 @@
 func method[Req, Resp any](name string, handle func(context.Context, *Req) (*Resp, error)) grpc.MethodDesc {
 	handler := func(_ any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
 		req := new(Req)
+		if handle == nil {
+			return nil, status.Errorf(codes.Unimplemented, "%s is not served here", name)
+		}
 		if err := decode(req); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/savorycore/savoryroster/health.go
@@ -0,0 +1,97 @@
+package savoryroster
+
+// This file defines Health, which servers are avoided for their failures.
+
+import "time"
+
+const (
+	// firstRest is how long a server is avoided after a failure; it doubles
+	// with each further one up to maxRest.
+	firstRest = 400 * time.Millisecond
+	maxRest   = 8 * time.Second
+	// forgiveTime is the time without a failure after which the count of
+	// failures starts anew.
+	forgiveTime = 10 * time.Second
+)
+
+const (
+	// beatLag is how much later than it was written a heartbeat may be seen: the
+	// interval of the readings of the list, and the way.
+	beatLag = 900 * time.Millisecond
+	// namedMost bounds how long a named server waits for a heartbeat that clears
+	// it, in case the list is not read.
+	namedMost = 10 * time.Second
+)
+
+// Health follows the failures of servers by incarnation. The zero value is
+// ready for use.
+type Health struct {
+	states map[string]*healthState
+}
+
+type healthState struct {
+	failures int
+	lastAt   time.Time
+	until    time.Time
+	// namedAt is when an engine named the server as not answering; a later
+	// heartbeat clears it.
+	namedAt time.Time
+}
+
+// Failed records a failure and returns until when the server is avoided.
+func (h *Health) Failed(id string, now time.Time) time.Time {
+	if h.states == nil {
+		h.states = make(map[string]*healthState)
+	}
+	s := h.states[id]
+	if s == nil || now.Sub(s.lastAt) > forgiveTime {
+		s = &healthState{}
+		h.states[id] = s
+	}
+	if now.Before(s.until) {
+		// Requests that were sent before the first failure fail together; they
+		// are one finding.
+		s.lastAt = now
+		return s.until
+	}
+	rest := min(maxRest, firstRest<<min(s.failures, 6))
+	s.failures++
+	s.lastAt = now
+	s.until = now.Add(rest)
+	return s.until
+}
+
+// Named records that an engine which works with the server found it silent. The
+// server is avoided until a heartbeat shows that it lives.
+func (h *Health) Named(id string, now time.Time) {
+	h.Failed(id, now)
+	if s := h.states[id]; s.namedAt.IsZero() {
+		s.namedAt = now
+	}
+}
+
+// Beat records that a heartbeat of the server was first seen at beatAt.
+func (h *Health) Beat(id string, beatAt time.Time) {
+	if s := h.states[id]; s != nil && !s.namedAt.IsZero() && beatAt.Sub(s.namedAt) > beatLag {
+		s.namedAt = time.Time{}
+	}
+}
+
+// Succeeded records an answer: the server is no longer avoided.
+func (h *Health) Succeeded(id string) {
+	if s := h.states[id]; s != nil {
+		s.until, s.namedAt = time.Time{}, time.Time{}
+	}
+}
+
+// Avoided reports whether a server is to be avoided at now.
+func (h *Health) Avoided(id string, now time.Time) bool {
+	s := h.states[id]
+	if s == nil {
+		return false
+	}
+	return now.Before(s.until) || !s.namedAt.IsZero() && now.Sub(s.namedAt) < namedMost
+}
+
+// Forget drops a server that is gone.
+func (h *Health) Forget(id string) { delete(h.states, id) }
--- /dev/null
+++ b/savorycore/savoryroster/roster.go
@@ -0,0 +1,262 @@
+// Package savoryroster keeps what an entry believes about the backend servers:
+// which are listed, which are leaving, and which fail.
+//
+// The platform's list is read from its store, or handed over by a peer. A
+// server that was once seen leaving stays so for its incarnation, whatever an
+// older list or a late heartbeat says. The package decides only: it does no
+// I/O and reads no clock. Its types are not safe for concurrent use.
+package savoryroster
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// returnTime is how long after the store's return a missing entry may still
+// come back: servers register again within two heartbeats.
+const returnTime = 2500 * time.Millisecond
+
+// goneKept is how long a server that left is remembered, so that a late list
+// does not bring it back.
+const goneKept = time.Minute
+
+// Server is one listed backend server.
+type Server struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Zone    string
+	// Leaving servers get no new work.
+	Leaving bool
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// Orders is the number of orders that the server accepted since its start.
+	Orders int64
+	// Born is the start of the server's incarnation.
+	Born time.Time
+	// Holds is the layers that an engine holds, Accelerator its kind.
+	Holds       savoryworld.LayerRange `msgpack:",omitempty"`
+	Accelerator string                 `msgpack:",omitempty"`
+	// Busy engines are carrying out an order.
+	Busy bool `msgpack:",omitempty"`
+	// Beat is the store's revision of the server's last heartbeat.
+	Beat int64
+}
+
+// Listing is one reading of the platform's list.
+type Listing struct {
+	// Revision is the store's revision at the reading.
+	Revision int64
+	Servers  []Server
+}
+
+// Print returns a fingerprint of what the listing says, without its revision.
+func (l *Listing) Print() uint64 {
+	d := xxhash.New()
+	for _, s := range l.Servers {
+		_, _ = fmt.Fprintf(d, "%s|%s|%s|%s|%t|%d|%d|%d|%s|%t|%d;", s.ID, s.Service, s.Address, s.Zone,
+			s.Leaving, s.Orders, s.Born.UnixMilli(), s.Holds.From*1000+s.Holds.To, s.Accelerator, s.Busy, s.Beat)
+	}
+	return d.Sum64()
+}
+
+// Check returns an error if a listing from a peer is not well formed.
+func (l *Listing) Check() error {
+	for i, s := range l.Servers {
+		if s.ID == "" || !s.Address.IsValid() {
+			return fmt.Errorf("Listing.Servers[%d]: no ID or address", i)
+		}
+	}
+	return nil
+}
+
+// Change is a change of belief about a server, for the log.
+type Change struct {
+	Server Server
+	// What is "listed", "leaving", "gone", "restarted" or "holds".
+	What string
+}
+
+// Roster is one entry's view. The zero value is ready for use.
+type Roster struct {
+	servers map[string]*entry
+	// gone holds incarnations that left.
+	gone     map[string]goneServer
+	revision int64
+	// appliedAt is the time of the last reading, brokenAt that of the last
+	// failed one.
+	appliedAt time.Time
+	returnAt  time.Time
+	broken    bool
+}
+
+type entry struct {
+	Server
+	// beatAt is when the last heartbeat was first seen.
+	beatAt time.Time
+	// reported says that Holds was reported by the engine itself after its last
+	// order, so that an older heartbeat does not replace it.
+	reported bool
+}
+
+type goneServer struct {
+	born time.Time
+	at   time.Time
+}
+
+// Broken records that the store could not be read: entries may lapse.
+func (r *Roster) Broken() { r.broken = true }
+
+// Revision returns the store's revision of the newest listing.
+func (r *Roster) Revision() int64 { return r.revision }
+
+// ReadAt returns when the newest listing was read.
+func (r *Roster) ReadAt() time.Time { return r.appliedAt }
+
+// Apply takes a listing that was read at readAt. Older listings than the one
+// known change nothing.
+func (r *Roster) Apply(l *Listing, readAt, now time.Time) []Change {
+	if r.servers == nil {
+		r.servers = make(map[string]*entry)
+		r.gone = make(map[string]goneServer)
+	}
+	if l.Revision < r.revision {
+		return nil
+	}
+	if r.broken {
+		r.broken = false
+		r.returnAt = now
+	}
+	r.revision = l.Revision
+	if readAt.After(r.appliedAt) {
+		r.appliedAt = readAt
+	}
+	var changes []Change
+	seen := make(map[string]bool, len(l.Servers))
+	for _, s := range l.Servers {
+		seen[s.ID] = true
+		if change, ok := r.take(s, now); ok {
+			changes = append(changes, change)
+		}
+	}
+	for id, e := range r.servers {
+		if seen[id] {
+			continue
+		}
+		if now.Sub(r.returnAt) < returnTime && !r.returnAt.IsZero() && !e.Leaving {
+			continue
+		}
+		delete(r.servers, id)
+		r.gone[id] = goneServer{born: e.Born, at: now}
+		changes = append(changes, Change{Server: e.Server, What: "gone"})
+	}
+	for id, g := range r.gone {
+		if now.Sub(g.at) > goneKept {
+			delete(r.gone, id)
+		}
+	}
+	return changes
+}
+
+// take merges one listed server.
+func (r *Roster) take(s Server, now time.Time) (Change, bool) {
+	known := r.servers[s.ID]
+	if known == nil {
+		if g, ok := r.gone[s.ID]; ok && s.Leaving && !s.Born.After(g.born) {
+			return Change{}, false
+		}
+		r.servers[s.ID] = &entry{Server: s, beatAt: now}
+		return Change{Server: s, What: "listed"}, true
+	}
+	before := known.Server
+	if s.Beat > before.Beat {
+		known.beatAt = now
+	}
+	switch {
+	case s.Born.Before(before.Born):
+		return Change{}, false
+	case s.Born.After(before.Born):
+		known.Server, known.reported = s, false
+		return Change{Server: s, What: "restarted"}, true
+	}
+	if before.Leaving {
+		s.Leaving = true
+	}
+	if s.Orders < before.Orders || s.Orders == before.Orders && known.reported {
+		s.Orders, s.Holds, s.Busy = before.Orders, before.Holds, before.Busy
+	} else {
+		known.reported = false
+	}
+	known.Server = s
+	switch {
+	case s.Leaving && !before.Leaving:
+		return Change{Server: s, What: "leaving"}, true
+	case s.Holds != before.Holds:
+		return Change{Server: s, What: "holds"}, true
+	}
+	return Change{}, false
+}
+
+// Holds records what an engine itself reported.
+func (r *Roster) Holds(id string, born time.Time, orders int64, holds savoryworld.LayerRange, busy bool) {
+	if e := r.servers[id]; e != nil && e.Born.Equal(born) && orders >= e.Orders {
+		e.Orders, e.Server.Holds, e.Busy, e.reported = orders, holds, busy, true
+	}
+}
+
+// Leave records that a server was found leaving or replaced by its own answer.
+func (r *Roster) Leave(id string) {
+	if e := r.servers[id]; e != nil {
+		e.Leaving = true
+	}
+}
+
+// Server returns the server with the ID.
+func (r *Roster) Server(id string) (Server, bool) {
+	e := r.servers[id]
+	if e == nil {
+		return Server{}, false
+	}
+	return e.Server, true
+}
+
+// BeatAt returns when the server's last heartbeat was first seen.
+func (r *Roster) BeatAt(id string) time.Time {
+	if e := r.servers[id]; e != nil {
+		return e.beatAt
+	}
+	return time.Time{}
+}
+
+// All returns all listed servers, by ID.
+func (r *Roster) All() []Server {
+	all := make([]Server, 0, len(r.servers))
+	for _, e := range r.servers {
+		all = append(all, e.Server)
+	}
+	slices.SortFunc(all, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Of returns the servers of a service that may get new work, by ID.
+func (r *Roster) Of(service string) []Server {
+	return slices.DeleteFunc(r.All(), func(s Server) bool { return s.Service != service || s.Leaving })
+}
+
+// Listing returns the current view for a peer.
+func (r *Roster) Listing() *Listing { return &Listing{Revision: r.revision, Servers: r.All()} }
+
+// Confirm records that the store showed the same list again at readAt.
+func (r *Roster) Confirm(revision int64, readAt time.Time) {
+	r.revision = max(r.revision, revision)
+	if readAt.After(r.appliedAt) {
+		r.appliedAt = readAt
+	}
+}
--- /dev/null
+++ b/savorycore/savoryrouting/table.go
@@ -0,0 +1,94 @@
+package savoryrouting
+
+// This file defines Table, the configuration in force, indexed for requests.
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table is a Config with its indexes. It is immutable.
+type Table struct {
+	Config *Config
+
+	// byHost holds the routes of a host, longest prefix first.
+	byHost map[string][]*Route
+	byKey  map[string]*Customer
+}
+
+// NewTable indexes a checked configuration.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, byHost: make(map[string][]*Route), byKey: make(map[string]*Customer)}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Customers {
+		for _, digest := range c.Customers[i].KeySHA256 {
+			t.byKey[digest] = &c.Customers[i]
+		}
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path at the host, or nil.
+// A port in host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	routes, ok := t.byHost[host]
+	if !ok {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			routes = t.byHost[name]
+		}
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether a request of the route must carry a customer's key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Config.Customers) > 0 && !r.Open }
+
+// Customer returns the customer that holds the key, or nil.
+func (t *Table) Customer(key string) *Customer { return t.byKey[KeyDigest(key)] }
+
+// KeyDigest returns the digest under which a key is kept.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Service picks the service for a request of the route by its ID, so that the
+// shares of a split hold and a repeated ID goes the same way.
+func (t *Table) Service(r *Route, requestID string) *Service {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := int(xxhash.Sum64String(requestID) % uint64(max(1, total)))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return t.Config.Service(s.Service)
+		}
+		at -= s.Weight
+	}
+	return nil
+}
+
+// Priority returns the rank of a customer's request; 0 is the highest.
+func Priority(r *Route, c *Customer) int {
+	if c != nil && c.Priority != nil {
+		return *c.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/savoryentry/savorygate/dialect.go
@@ -0,0 +1,144 @@
+// Package savorygate is the plumbing of an entry that routes by the operators'
+// configuration in the platform's store: it serves callers, follows the store
+// and its peers, and gives orders to engines.
+//
+// What the platform calls things on the wire is known to a Dialect, a Store and
+// an Engines only, whose fields an adapter sets. Decisions are made in the
+// pure packages of savorycore; a Gate holds their state behind locks and does
+// the I/O. Lock order: view, then budgets; neither is held during I/O.
+package savorygate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// Caller is what a caller's header says.
+type Caller struct {
+	// ID is the request's ID.
+	ID string
+	// Deadline is how long the caller waits; 0 if it does not say.
+	Deadline time.Duration
+	// Key is the customer's key, or "".
+	Key string
+	// LastEvent is the last event that the caller has of a stream, or "".
+	LastEvent string
+	// PromptTokens and MaxTokens are 0 if not stated.
+	PromptTokens int
+	MaxTokens    int
+	// ExpectedTokens is the caller's estimate of the answer's tokens, or 0.
+	ExpectedTokens int
+}
+
+// Forward is what the entry sets on a request for a backend server.
+type Forward struct {
+	// Left is the time until the deadline.
+	Left     time.Duration
+	Customer string
+	// Server is the ID of the server that the request is meant for.
+	Server string
+	// Path lists the engines of a chain; empty for none.
+	Path savorypath.Path
+	// LastEvent is the last event that the caller has, or "".
+	LastEvent string
+	// Priority is 0 for the most urgent.
+	Priority int
+}
+
+// Answered is what a backend server's header says of a request.
+type Answered struct {
+	// NotRun says that the server promises that it did not run the request.
+	NotRun bool
+	// Fault is the server of a chain at fault; invalid if none is named.
+	Fault netip.AddrPort
+	// Instance is the ID that the server states, or "".
+	Instance string
+}
+
+// Dialect translates the headers of requests and answers.
+type Dialect struct {
+	// ReadCaller decodes a caller's header. An error names the field.
+	ReadCaller func(http.Header) (Caller, error)
+	// Prepare sets and removes what a backend server is to get.
+	Prepare func(http.Header, Forward)
+	// ReadAnswer decodes the header of a backend server's answer.
+	ReadAnswer func(status int, h http.Header) Answered
+	// AnswerID returns the ID of the request that an answer belongs to.
+	AnswerID func(http.Header) string
+	// WriteOwn sets the header of an answer of the entry's own; a retryAfter of
+	// 0 states none.
+	WriteOwn func(h http.Header, id string, retryAfter time.Duration)
+	// ReadyPath is the path of the balancer's question.
+	ReadyPath string
+}
+
+// ErrHistoryGone says that a watch asked for changes that the store no longer
+// has.
+var ErrHistoryGone = errors.New("the store no longer has this history")
+
+// Store is the platform's key-value service.
+type Store struct {
+	Get func(ctx context.Context, key string) (savorystore.Value, error)
+	// List reads all keys with a prefix, over all pages, and the store's
+	// revision. A stale reading is cheaper and may be seconds old.
+	List func(ctx context.Context, prefix string, stale bool) ([]savorystore.Value, int64, error)
+	// Watch waits for changes after a revision and returns them with the
+	// revision to go on from. ErrHistoryGone asks for a new reading.
+	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]savorystore.Value, int64, error)
+	// Swap runs one compare-and-swap.
+	Swap      func(ctx context.Context, swap savorystore.Swap) (savorystore.SwapResult, error)
+	Grant     func(ctx context.Context, ttl time.Duration) (savorystore.Lease, error)
+	KeepAlive func(ctx context.Context, id int64) (savorystore.Lease, error)
+	Revoke    func(ctx context.Context, id int64) error
+
+	// ConfigKey holds the configuration, ServerPrefix the servers' entries.
+	ConfigKey    string
+	ServerPrefix string
+	// ReadConfig and ReadServer decode their values. An entry that cannot be
+	// read names no server.
+	ReadConfig func([]byte) (*savoryrouting.Config, error)
+	ReadServer func(id string, body []byte) (savoryroster.Server, error)
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	Born   time.Time
+	Orders int64
+	Busy   bool
+	Holds  savoryworld.LayerRange
+	// Pace is above 1 for an engine that is slower than its kind.
+	Pace float64
+	// Stalled maps the IDs of requests that wait for another engine to its
+	// address.
+	Stalled map[string]netip.AddrPort
+}
+
+// OrderResult is an engine's answer to an order.
+type OrderResult string
+
+// The results of orders.
+const (
+	OrderBegun   OrderResult = "Begun"
+	OrderDone    OrderResult = "Done"
+	OrderRefused OrderResult = "Refused"
+)
+
+// Engines calls the engines.
+type Engines struct {
+	Report func(ctx context.Context, address netip.AddrPort) (Report, error)
+	// Place orders an engine to hold layers, if it has accepted the expected
+	// number of orders so far.
+	Place func(ctx context.Context, address netip.AddrPort, server string, layers savoryworld.LayerRange, expected int64) (OrderResult, error)
+	// Repath moves a running request to another path with the same first
+	// engine.
+	Repath func(ctx context.Context, address netip.AddrPort, server, request string, path savorypath.Path) (OrderResult, error)
+}
--- /dev/null
+++ b/savoryentry/savorygate/gate.go
@@ -0,0 +1,403 @@
+package savorygate
+
+// This file defines Gate, its start and its stop.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"savorycart.example/savorycore/savoryconn"
+	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savorystore"
+)
+
+const (
+	// maxHeaderBytes bounds a caller's header before a configuration is known.
+	maxHeaderBytes = 64 << 10
+	// headerTimeout bounds the time in which a header must arrive.
+	headerTimeout = 10 * time.Second
+	// dialTimeout bounds the time to connect to a backend server.
+	dialTimeout = 300 * time.Millisecond
+	// noticeTime is how long the balancer takes to notice that an entry is not
+	// ready: it asks once a second and takes two misses.
+	noticeTime = 2300 * time.Millisecond
+	// stopMargin is the part of the grace time that is left for closing.
+	stopMargin = 500 * time.Millisecond
+	// sampleOf is the number of requests of which one is logged in full.
+	sampleOf = 16
+	// sweepEvery is the interval at which idle connections are looked after.
+	sweepEvery = time.Second
+	// registerTime is the lease of an entry's registration in the store.
+	registerTime = 12 * time.Second
+	entryPrefix  = "savorycart/entries/"
+)
+
+// Gate is one entry. Its exported fields are set before Run.
+type Gate struct {
+	Dialect Dialect
+	Store   Store
+	Engines Engines
+	Log     *log.Logger
+	// LogDropped returns the number of log lines that were dropped.
+	LogDropped func() int64
+
+	settings   atomic.Pointer[Settings]
+	tomb       tomb.Tomb
+	ctx        context.Context
+	table      atomic.Pointer[savoryrouting.Table]
+	configMu   sync.Mutex
+	view       view
+	relay      relay
+	peers      *savorypeer.Client
+	servers    *savoryconn.Client
+	reports    reports
+	metrics    *metrics
+	stopping   atomic.Bool
+	ordering   atomic.Bool
+	storeAt    atomic.Int64
+	storeLost  atomic.Bool
+	badEntries map[string]string
+
+	budgetMu sync.Mutex
+	budgets  map[string]*savorylimit.RetryBudget
+
+	idleMu sync.Mutex
+	idle   map[net.Conn]time.Time
+}
+
+// Configure sets the settings; it may be called again while the gate runs.
+func (g *Gate) Configure(s *Settings) { g.settings.Store(s) }
+
+// Settings returns the settings in force.
+func (g *Gate) Settings() *Settings { return g.settings.Load() }
+
+func (g *Gate) now() time.Time { return time.Now() }
+
+func (g *Gate) alive() bool { return g.tomb.Alive() }
+
+// sleep waits for d or until the gate ends.
+func (g *Gate) sleep(d time.Duration) {
+	select {
+	case <-g.tomb.Dying():
+	case <-time.After(d):
+	}
+}
+
+// sample reports whether a request is logged in full; all entries keep the same
+// requests.
+func (g *Gate) sample(id string) bool { return xxhash.Sum64String(id)%sampleOf == 0 }
+
+// Run serves until Stop has ended all requests, or a listener fails.
+func (g *Gate) Run(ctx context.Context) error {
+	s := g.Settings()
+	g.ctx = g.tomb.Context(ctx) //nolint:contextcheck // the tomb ends it
+	g.metrics = newMetrics(g.LogDropped)
+	g.view.zone = s.Zone
+	g.view.paths = nil
+	g.relay = relay{
+		self: s.Peers, peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
+		draining: g.stopping.Load, storeWorks: g.storeWorks,
+	}
+	g.relay.learn(s.Seeds, g.now())
+	g.peers = &savorypeer.Client{Timeout: syncTimeout}
+	g.servers = &savoryconn.Client{DialTimeout: dialTimeout, Dialed: g.metrics.dials.Inc}
+	g.budgets = make(map[string]*savorylimit.RetryBudget)
+	g.idle = make(map[net.Conn]time.Time)
+	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
+	if err := g.listen(s); err != nil {
+		g.tomb.Kill(err)
+		return err
+	}
+	for _, run := range []func() error{g.followConfig, g.followList, g.runRelay, g.runOrders, g.register, g.sweep} {
+		g.tomb.Go(run)
+	}
+	err := g.tomb.Wait()
+	g.peers.Close()
+	g.Log.WithField("reason", fmt.Sprint(err)).Info("entry ends")
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends a gate that was asked to.
+var errStopped = errors.New("stopped")
+
+// listen opens the listeners and serves on them.
+func (g *Gate) listen(s *Settings) error {
+	front, err := net.Listen("tcp", s.Front.String())
+	if err != nil {
+		return fmt.Errorf("listener for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", s.Ready.String())
+	if err != nil {
+		return fmt.Errorf("listener for readiness: %w", err)
+	}
+	peers, err := net.Listen("tcp", s.Peers.String())
+	if err != nil {
+		return fmt.Errorf("listener for peers: %w", err)
+	}
+	server := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState,
+		DisableGeneralOptionsHandler: true,
+	}
+	router := bunrouter.New()
+	router.GET(g.Dialect.ReadyPath, bunrouter.HTTPHandlerFunc(g.answerReady))
+	readyServer := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	peerServer := &savorypeer.Server{Sync: g.answerSync}
+	peerServer.Prepare()
+	g.tomb.Go(func() error { return g.serve(server, front) })
+	g.tomb.Go(func() error { return g.serve(readyServer, ready) })
+	g.tomb.Go(func() error {
+		if err := peerServer.Serve(peers); err != nil && g.alive() {
+			return err
+		}
+		return nil
+	})
+	if s.Metrics != 0 {
+		if err := g.listenMetrics(s); err != nil {
+			return err
+		}
+	}
+	g.tomb.Go(func() error {
+		<-g.tomb.Dying()
+		peerServer.Stop()
+		return errors.Join(server.Close(), readyServer.Close())
+	})
+	g.tomb.Go(func() error { return g.stopOn(server) })
+	return nil
+}
+
+func (g *Gate) listenMetrics(s *Settings) error {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(s.Ready.Addr(), s.Metrics).String())
+	if err != nil {
+		return fmt.Errorf("listener for metrics: %w", err)
+	}
+	router := bunrouter.New()
+	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
+	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	g.tomb.Go(func() error { return g.serve(server, l) })
+	g.tomb.Go(func() error {
+		<-g.tomb.Dying()
+		return server.Close()
+	})
+	return nil
+}
+
+func (g *Gate) serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("listener %s: %w", l.Addr(), err)
+	}
+	return nil
+}
+
+// answerReady answers the balancer.
+func (g *Gate) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if g.stopping.Load() || g.table.Load() == nil || !g.view.listed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Stop begins a planned stop: the balancer is told, then connections end with
+// their answers.
+func (g *Gate) Stop() {
+	if g.stopping.CompareAndSwap(false, true) {
+		g.Log.Info("stop begins")
+		g.wakeRelay()
+	}
+}
+
+// stopOn ends the gate once a planned stop has ended all requests.
+func (g *Gate) stopOn(server *http.Server) error {
+	for !g.stopping.Load() {
+		g.sleep(tick)
+		if !g.alive() {
+			return nil
+		}
+	}
+	begun := g.now()
+	g.sleep(noticeTime)
+	ctx, cancel := context.WithDeadline(g.ctx, begun.Add(g.Settings().Grace-stopMargin))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	g.Log.WithFields(log.Fields{"tookMs": g.now().Sub(begun).Milliseconds(), "cause": fmt.Sprint(err)}).Info("requests ended")
+	return errStopped
+}
+
+// connState keeps the idle connections of callers.
+func (g *Gate) connState(c net.Conn, state http.ConnState) {
+	g.idleMu.Lock()
+	defer g.idleMu.Unlock()
+	if state == http.StateIdle || state == http.StateNew {
+		g.idle[c] = g.now()
+		return
+	}
+	delete(g.idle, c)
+}
+
+// sweep closes connections that were idle for too long.
+func (g *Gate) sweep() error {
+	for g.alive() {
+		g.sleep(sweepEvery)
+		now := g.now()
+		g.servers.Sweep(now)
+		g.setBudgets()
+		cfg := g.config()
+		if cfg == nil || cfg.Limits.IdleTimeout <= 0 {
+			continue
+		}
+		g.idleMu.Lock()
+		for c, since := range g.idle {
+			if now.Sub(since) > cfg.Limits.IdleTimeout+sweepEvery {
+				delete(g.idle, c)
+				_ = c.Close()
+			}
+		}
+		g.idleMu.Unlock()
+	}
+	return nil
+}
+
+// setBudgets divides the retries among the live entries.
+func (g *Gate) setBudgets() {
+	s := g.Settings()
+	share := savorylimit.ShareBudget(budgetPart*s.RetryRatio, budgetPart*s.RetrySlack, s.RetryWindow, g.relay.live(g.now()))
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	if cfg := g.config(); cfg != nil {
+		for _, service := range cfg.Services {
+			if g.budgets[service.Name] == nil {
+				g.budgets[service.Name] = new(savorylimit.RetryBudget)
+			}
+		}
+	}
+	for _, b := range g.budgets {
+		b.Set(share)
+	}
+}
+
+// budgetPart is the part of the operators' budget that the entries use: their
+// views of how many they are may differ.
+const budgetPart = 0.8
+
+// sent pays into the budget of a service for the first send of a request.
+func (g *Gate) sent(service string, sends int) {
+	if sends != 1 {
+		return
+	}
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	if b := g.budgets[service]; b != nil {
+		b.Request(g.now())
+	}
+}
+
+// mayRetry takes a retry from the budget of a service.
+func (g *Gate) mayRetry(service string) bool {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	b := g.budgets[service]
+	return b != nil && b.Retry(g.now())
+}
+
+// register keeps this entry's address in the store, where entries that know no
+// peer find it.
+func (g *Gate) register() error {
+	var lease savorystore.Lease
+	for g.alive() {
+		if len(g.relay.entries(g.now())) == 0 {
+			g.findPeers()
+		}
+		var err error
+		if lease.ID == 0 {
+			lease, err = g.registerAnew()
+		} else {
+			err = g.renew(&lease)
+		}
+		if err != nil {
+			g.Log.WithError(err).Debug("not registered")
+			g.sleep(storePause)
+			continue
+		}
+		g.sleep(registerTime / 3)
+	}
+	return nil
+}
+
+func (g *Gate) renew(lease *savorystore.Lease) error {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	_, err := g.Store.KeepAlive(ctx, lease.ID)
+	if savorystore.LeaseGone(err) {
+		*lease = savorystore.Lease{}
+	} else {
+		g.storeAnswered("keepalive", err)
+	}
+	return err
+}
+
+func (g *Gate) registerAnew() (savorystore.Lease, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	lease, err := g.Store.Grant(ctx, registerTime)
+	g.storeAnswered("grant", err)
+	if err != nil {
+		return savorystore.Lease{}, err
+	}
+	s := g.Settings()
+	key := entryPrefix + s.Peers.String()
+	for range 2 {
+		old, err := g.Store.Get(ctx, key)
+		g.storeAnswered("get", err)
+		if err != nil {
+			return savorystore.Lease{}, err
+		}
+		result, err := g.Store.Swap(ctx, savorystore.Swap{Key: key, Old: old.Revision, Body: []byte(s.Zone), Lease: lease.ID})
+		g.storeAnswered("swap", err)
+		if err != nil {
+			return savorystore.Lease{}, err
+		}
+		if result.Won {
+			return lease, nil
+		}
+	}
+	return savorystore.Lease{}, fmt.Errorf("%s changes under the registration", key)
+}
+
+// findPeers reads the registered entries.
+func (g *Gate) findPeers() {
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+	defer cancel()
+	values, _, err := g.Store.List(ctx, entryPrefix, true)
+	g.storeAnswered("list", err)
+	if err != nil {
+		return
+	}
+	var found []netip.AddrPort
+	for _, v := range values {
+		address, err := netip.ParseAddrPort(v.Key[len(entryPrefix):])
+		if err != nil {
+			g.Log.WithError(err).WithField("key", v.Key).Warn("registered entry cannot be read")
+			continue
+		}
+		found = append(found, address)
+	}
+	g.relay.learn(found, g.now())
+}
--- /dev/null
+++ b/savoryentry/savorygate/metrics.go
@@ -0,0 +1,66 @@
+package savorygate
+
+// This file defines the gate's metrics.
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const metricsPrefix = "savorycart"
+
+// metrics is the set of a gate's metrics, in a registry of its own.
+type metrics struct {
+	registry *prometheus.Registry
+
+	requests   *prometheus.CounterVec
+	duration   *prometheus.HistogramVec
+	first      *prometheus.HistogramVec
+	gap        prometheus.Histogram
+	inFlight   prometheus.Gauge
+	retries    *prometheus.CounterVec
+	storeCalls *prometheus.CounterVec
+	orders     *prometheus.CounterVec
+	dials      prometheus.Counter
+	version    prometheus.Gauge
+	listAge    prometheus.Gauge
+	servers    *prometheus.GaugeVec
+	logDropped prometheus.CounterFunc
+}
+
+func newMetrics(dropped func() int64) *metrics {
+	times := prometheus.ExponentialBuckets(0.005, 1.8, 16)
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: counters("requests_total", "Requests by kind of route, outcome and reason.", "kind", "outcome", "reason"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "request_seconds", Help: "Time from the reading of a request to its end.", Buckets: times,
+		}, []string{"kind"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "first_seconds", Help: "Time to the answer or its first event.", Buckets: times,
+		}, []string{"kind"}),
+		gap: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "gap_seconds", Help: "Pause before an event of a stream.", Buckets: times,
+		}),
+		inFlight:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "requests_in_flight", Help: "Requests in flight."}),
+		retries:    counters("retries_total", "Requests sent again, by what is known of the failed one.", "verdict"),
+		storeCalls: counters("store_calls_total", "Calls of the platform's store by operation and result.", "operation", "result"),
+		orders:     counters("orders_total", "Orders to engines by kind and result.", "kind", "result"),
+		dials:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
+		version:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
+		listAge:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "list_age_seconds", Help: "Age of the list of servers."}),
+		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsPrefix, Name: "servers", Help: "Backend servers by state.",
+		}, []string{"state"}),
+		logDropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
+		}, func() float64 { return float64(dropped()) }),
+	}
+	m.registry.MustRegister(m.requests, m.duration, m.first, m.gap, m.inFlight, m.retries, m.storeCalls, m.orders,
+		m.dials, m.version, m.listAge, m.servers, m.logDropped, collectors.NewGoCollector())
+	return m
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsPrefix, Name: name, Help: help}, labels)
+}
--- /dev/null
+++ b/savoryentry/savorygate/orders.go
@@ -0,0 +1,291 @@
+package savorygate
+
+// This file gives orders to engines. One entry at a time does, by a lease in
+// the store; the plan is kept there, so that a successor goes on with it.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savoryplacement"
+	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savorywire"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+const (
+	ordererKey = "savorycart/orderer"
+	planPrefix = "savorycart/plan/"
+	// ordererTime is the orderer's lease: a successor begins at most so long
+	// after its death.
+	ordererTime = 2 * time.Second
+	// tenureParts divides the lease's time; the orderer acts for all parts but
+	// one and renews after one.
+	tenureParts = 3
+	// ordersEvery is the interval of the orderer's rounds.
+	ordersEvery = 200 * time.Millisecond
+	// orderTimeout bounds the call of one order.
+	orderTimeout = 500 * time.Millisecond
+	// quickLoadPart is the part of the load time that loads take before the
+	// first request.
+	quickLoadPart = 0.1
+	// confirmEvery is the interval of the questions whether an order is done,
+	// and confirmTries their number.
+	confirmEvery = 400 * time.Millisecond
+	confirmTries = 6
+)
+
+// orderer is the state of an entry that gives orders.
+type orderer struct {
+	lease    savorystore.Lease
+	until    time.Time
+	renewAt  time.Time
+	services map[string]*serviceOrders
+}
+
+type serviceOrders struct {
+	savoryplacement.Orderer
+	// revision is that of the plan in the store.
+	revision int64
+}
+
+// StoredPlan is a plan as it is kept in the store.
+type StoredPlan struct {
+	Layers map[string]savoryworld.LayerRange
+}
+
+// runOrders competes for the orderer's lease and gives orders while it holds.
+func (g *Gate) runOrders() error {
+	o := &orderer{}
+	for g.alive() {
+		g.sleep(ordersEvery)
+		if g.stopping.Load() {
+			g.resign(o)
+			return nil
+		}
+		cfg := g.config()
+		if cfg == nil || !g.view.listed() {
+			continue
+		}
+		if !g.holdsTenure(o) {
+			continue
+		}
+		for i := range cfg.Services {
+			s := &cfg.Services[i]
+			if s.Engine != nil && s.Engine.Layers > 0 {
+				g.orderService(o, s)
+			}
+		}
+	}
+	return nil
+}
+
+// holdsTenure renews or takes the lease and reports whether it holds.
+func (g *Gate) holdsTenure(o *orderer) bool {
+	now := g.now()
+	if now.Before(o.until) && now.Before(o.renewAt) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	if o.lease.ID != 0 {
+		lease, err := g.Store.KeepAlive(ctx, o.lease.ID)
+		g.storeAnswered("keepalive", err)
+		if err == nil {
+			o.extend(lease, now)
+			return true
+		}
+		o.renewAt = now.Add(ordersEvery)
+		if savorystore.LeaseGone(err) || !now.Before(o.until) {
+			g.loseTenure(o, err)
+		}
+		return now.Before(o.until)
+	}
+	if g.relay.ordererHeard(now) || g.relay.rank(now) > 0 || now.Before(o.renewAt) {
+		return false
+	}
+	o.renewAt = now.Add(ordererTime / tenureParts)
+	if err := g.takeTenure(ctx, o, now); err != nil {
+		g.Log.WithError(err).Info("orders are given by another entry")
+		return false
+	}
+	return true
+}
+
+// extend counts the tenure from before the call that granted or renewed it.
+func (o *orderer) extend(lease savorystore.Lease, from time.Time) {
+	o.lease = lease
+	o.until = from.Add(lease.TTL * (tenureParts - 1) / tenureParts)
+	o.renewAt = from.Add(lease.TTL / tenureParts)
+}
+
+func (g *Gate) takeTenure(ctx context.Context, o *orderer, now time.Time) error {
+	current, err := g.Store.Get(ctx, ordererKey)
+	g.storeAnswered("get", err)
+	if err != nil {
+		return err
+	}
+	if current.Found() {
+		return fmt.Errorf("%s is held by %s", ordererKey, current.Body)
+	}
+	lease, err := g.Store.Grant(ctx, max(ordererTime, g.Settings().LeaseLeast))
+	g.storeAnswered("grant", err)
+	if err != nil {
+		return err
+	}
+	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: ordererKey, Body: []byte(g.Settings().Peers.String()), Lease: lease.ID})
+	g.storeAnswered("swap", err)
+	if err != nil {
+		return err
+	}
+	if !result.Won {
+		return fmt.Errorf("%s was taken by %s", ordererKey, result.Current.Body)
+	}
+	o.extend(lease, now)
+	o.services = make(map[string]*serviceOrders)
+	g.ordering.Store(true)
+	g.Log.WithFields(log.Fields{"lease": lease.ID, "revision": result.Revision}).Info("orderer gained")
+	return nil
+}
+
+func (g *Gate) loseTenure(o *orderer, err error) {
+	g.Log.WithError(err).Info("orderer lost")
+	*o = orderer{}
+	g.ordering.Store(false)
+}
+
+// resign ends the lease, so that a successor begins at once.
+func (g *Gate) resign(o *orderer) {
+	if o.lease.ID == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	err := g.Store.Revoke(ctx, o.lease.ID)
+	g.storeAnswered("revoke", err)
+	g.loseTenure(o, err)
+}
+
+// orderService brings the plan of a service up to date and gives its orders.
+func (g *Gate) orderService(o *orderer, s *savoryrouting.Service) {
+	so := o.services[s.Name]
+	if so == nil {
+		var err error
+		if so, err = g.loadPlan(s.Name); err != nil {
+			return
+		}
+		o.services[s.Name] = so
+	}
+	now := g.now()
+	servers, failing := g.view.servers(s.Name, now)
+	var engines []savoryplacement.Engine
+	for _, server := range servers {
+		if !failing[server.ID] {
+			engines = append(engines, savoryplacement.Engine{
+				ID: server.ID, Zone: server.Zone, Accelerator: server.Accelerator, Holds: server.Holds,
+			})
+		}
+	}
+	if so.Replan(s.Engine, engines, now) {
+		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "placed": len(so.Plan()), "failing": len(failing)}).Info("plan changed")
+		if err := g.keepPlan(s.Name, so); err != nil {
+			g.Log.WithError(err).Warn("plan not kept")
+		}
+	}
+	for _, order := range so.Orders(s.Engine, servers, now) {
+		go g.give(s, order, anyServes(servers))
+	}
+}
+
+func anyServes(servers []savoryroster.Server) bool {
+	for _, s := range servers {
+		if !s.Holds.Empty() {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gate) loadPlan(service string) (*serviceOrders, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	v, err := g.Store.Get(ctx, planPrefix+service)
+	g.storeAnswered("get", err)
+	if err != nil {
+		return nil, err
+	}
+	so := &serviceOrders{revision: v.Revision}
+	if !v.Found() {
+		so.Resume(nil)
+		return so, nil
+	}
+	var stored StoredPlan
+	if err := savorywire.Decode(v.Body, &stored); err != nil {
+		g.Log.WithError(err).WithField("key", v.Key).Error("plan cannot be read; it is made anew from what engines hold")
+		so.Resume(nil)
+		return so, nil
+	}
+	so.Resume(stored.Layers)
+	return so, nil
+}
+
+// keepPlan writes the plan, unless another orderer has written one since.
+func (g *Gate) keepPlan(service string, so *serviceOrders) error {
+	body, err := savorywire.Encode(StoredPlan{Layers: so.Plan()})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: planPrefix + service, Old: so.revision, Body: body})
+	g.storeAnswered("swap", err)
+	if err != nil {
+		return err
+	}
+	if !result.Won {
+		so.revision = result.Current.Revision
+		return fmt.Errorf("another plan stands at revision %d", result.Current.Revision)
+	}
+	so.revision = result.Revision
+	return nil
+}
+
+// give gives one order and, while requests are served, asks until it is done.
+func (g *Gate) give(s *savoryrouting.Service, order savoryplacement.Order, serving bool) {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, order.Expected)
+	cancel()
+	entry := g.Log.WithFields(log.Fields{
+		"server": order.Server.ID, "layers": order.Layers.String(), "held": order.Server.Holds.String(), "expected": order.Expected, "result": string(result),
+	})
+	if err != nil {
+		entry = entry.WithError(err)
+		result = "NoAnswer"
+	}
+	entry.Info("order given")
+	g.metrics.orders.WithLabelValues("Place", string(result)).Inc()
+	if !serving {
+		return
+	}
+	g.sleep(time.Duration(float64(s.Engine.LoadTime) * float64(order.Layers.Count()) / float64(s.Engine.Layers)))
+	for range confirmTries {
+		if !g.alive() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+		report, err := g.Engines.Report(ctx, order.Server.Address)
+		cancel()
+		if err == nil && report.Born.Equal(order.Server.Born) && report.Holds == order.Layers && !report.Busy {
+			g.view.holds(order.Server.ID, report, g.config())
+			g.Log.WithFields(log.Fields{"server": order.Server.ID, "layers": report.Holds.String(), "orders": report.Orders}).Info("order done")
+			g.wakeRelay()
+			return
+		}
+		g.sleep(confirmEvery)
+	}
+}
--- /dev/null
+++ b/savoryentry/savorygate/view.go
@@ -0,0 +1,316 @@
+package savorygate
+
+// This file defines view, the beliefs about servers that requests are routed
+// by.
+
+import (
+	"cmp"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savoryrouting"
+)
+
+// faultTold is how long a fault that an engine named is told to peers.
+const faultTold = 1500 * time.Millisecond
+
+// view holds the roster, the health of servers and the load of engines behind
+// one lock.
+type view struct {
+	mu     sync.Mutex
+	zone   string
+	roster savoryroster.Roster
+	health savoryroster.Health
+	paths  map[string]*savorypath.Table
+	// flights counts this entry's requests at plain servers.
+	flights map[string]int
+	// faults are faults that engines named lately.
+	faults map[string]time.Time
+	peers  map[netip.AddrPort][]savorypath.Load
+	slow   map[string]float64
+}
+
+// errNoServer says that no server of a service may get work.
+var errNoServer = errors.New("no server is available")
+
+// list takes a reading of the platform's list.
+func (v *view) list(l *savoryroster.Listing, readAt, now time.Time, cfg *savoryrouting.Config) []savoryroster.Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changes := v.roster.Apply(l, readAt, now)
+	for _, c := range changes {
+		if c.What == "restarted" || c.What == "gone" {
+			v.health.Forget(c.Server.ID)
+		}
+	}
+	for _, s := range l.Servers {
+		v.health.Beat(s.ID, v.roster.BeatAt(s.ID))
+	}
+	if len(changes) > 0 {
+		v.rebuild(cfg)
+	}
+	return changes
+}
+
+// configured takes a configuration.
+func (v *view) configured(cfg *savoryrouting.Config) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.rebuild(cfg)
+}
+
+// rebuild hands the usable engines to the path tables.
+func (v *view) rebuild(cfg *savoryrouting.Config) {
+	if cfg == nil {
+		return
+	}
+	if v.paths == nil {
+		v.paths = make(map[string]*savorypath.Table)
+	}
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		if s.Engine == nil || s.Engine.Layers == 0 {
+			continue
+		}
+		var engines []savorypath.Engine
+		for _, server := range v.roster.Of(s.Name) {
+			engines = append(engines, savorypath.Engine{
+				ID: server.ID, Address: server.Address, Zone: server.Zone, Holds: server.Holds,
+				Kind: s.Engine.Accelerator(server.Accelerator), Slow: v.slow[server.ID],
+			})
+		}
+		v.table(s.Name).SetEngines(s.Engine, engines)
+	}
+}
+
+func (v *view) table(service string) *savorypath.Table {
+	t := v.paths[service]
+	if t == nil {
+		if v.paths == nil {
+			v.paths = make(map[string]*savorypath.Table)
+		}
+		t = &savorypath.Table{Zone: v.zone}
+		v.paths[service] = t
+	}
+	return t
+}
+
+// choosePath chooses a chain and counts the request as sent on it.
+func (v *view) choosePath(service string, r savorypath.Request, now time.Time) (savorypath.Choice, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	avoid := r.Avoid
+	r.Avoid = func(id string) bool { return v.health.Avoided(id, now) || avoid != nil && avoid(id) }
+	t := v.table(service)
+	choice, err := t.Choose(r)
+	if err == nil {
+		t.Began(choice.Path, r.Tokens)
+	}
+	return choice, err
+}
+
+// endPath takes a request off the load of its chain.
+func (v *view) endPath(service string, p savorypath.Path, tokens int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table(service).Ended(p, tokens)
+}
+
+// plainChoice is a server chosen for a request without a chain.
+type plainChoice struct {
+	server   savoryroster.Server
+	runnerUp string
+	// flights is the number of this entry's requests at the server before.
+	flights int
+	slots   int
+	avoided int
+}
+
+// choosePlain chooses the server of a service with the fewest requests in
+// flight for its slots, and counts the request as sent to it. Servers that fail
+// are used only if no other is left.
+func (v *view) choosePlain(service string, avoid map[string]bool, now time.Time) (plainChoice, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	servers := slices.DeleteFunc(v.roster.Of(service), func(s savoryroster.Server) bool { return avoid[s.ID] })
+	if len(servers) == 0 {
+		return plainChoice{}, errNoServer
+	}
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	rank := func(s savoryroster.Server) float64 {
+		r := float64(v.flights[s.ID]) / float64(max(1, s.Slots))
+		if s.Zone != v.zone {
+			// A server of the own zone wins among equals.
+			r += 0.01
+		}
+		if v.health.Avoided(s.ID, now) {
+			r += avoidedRank
+		}
+		return r
+	}
+	slices.SortStableFunc(servers, func(a, b savoryroster.Server) int { return cmp.Compare(rank(a), rank(b)) })
+	c := plainChoice{server: servers[0], flights: v.flights[servers[0].ID], slots: servers[0].Slots, avoided: len(avoid)}
+	if len(servers) > 1 {
+		c.runnerUp = servers[1].ID
+	}
+	if v.flights == nil {
+		v.flights = make(map[string]int)
+	}
+	v.flights[c.server.ID]++
+	return c, nil
+}
+
+// avoidedRank puts servers that fail behind all others, however loaded.
+const avoidedRank = 1000
+
+func (v *view) endPlain(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.flights[id]--
+	if v.flights[id] <= 0 {
+		delete(v.flights, id)
+	}
+}
+
+// failed records a server's failure; named says that an engine named it, which
+// peers are told.
+func (v *view) failed(id string, named bool, now time.Time) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if named {
+		if v.faults == nil {
+			v.faults = make(map[string]time.Time)
+		}
+		v.faults[id] = now
+		v.health.Named(id, now)
+	}
+	return v.health.Failed(id, now)
+}
+
+// peerFault takes a fault that a peer was told by an engine.
+func (v *view) peerFault(id string, at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.health.Avoided(id, at) || !v.roster.BeatAt(id).Before(at) {
+		return false
+	}
+	v.health.Named(id, at)
+	return true
+}
+
+// holds records what an engine said of itself.
+func (v *view) holds(id string, r Report, cfg *savoryrouting.Config) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.roster.Holds(id, r.Born, r.Orders, r.Holds, r.Busy)
+	v.rebuild(cfg)
+}
+
+func (v *view) succeeded(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.health.Succeeded(id)
+}
+
+func (v *view) leave(id string, cfg *savoryrouting.Config) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.roster.Leave(id)
+	v.rebuild(cfg)
+}
+
+// byAddress returns the ID of the engine at an address among the hops.
+func byAddress(p savorypath.Path, address netip.AddrPort) string {
+	for _, h := range p {
+		if h.Address == address {
+			return h.Server
+		}
+	}
+	return ""
+}
+
+// toldFaults returns the faults that engines named lately, with their age.
+func (v *view) toldFaults(now time.Time) map[string]time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	told := make(map[string]time.Duration)
+	for id, at := range v.faults {
+		if age := now.Sub(at); age < faultTold {
+			told[id] = age
+		} else {
+			delete(v.faults, id)
+		}
+	}
+	return told
+}
+
+// ownLoads returns what this entry has in flight at engines.
+func (v *view) ownLoads() []savorypath.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var loads []savorypath.Load
+	for _, t := range v.paths {
+		loads = append(loads, t.Own()...)
+	}
+	return loads
+}
+
+// peerLoads takes what a peer has in flight.
+func (v *view) peerLoads(peer netip.AddrPort, loads []savorypath.Load, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, t := range v.paths {
+		// Servers of other services are never looked up in this table.
+		t.SetPeer(peer.String(), loads, now)
+	}
+}
+
+// servers returns the listed servers of a service with whether they fail.
+func (v *view) servers(service string, now time.Time) (all []savoryroster.Server, failing map[string]bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all = v.roster.Of(service)
+	failing = make(map[string]bool)
+	for _, s := range all {
+		if v.health.Avoided(s.ID, now) {
+			failing[s.ID] = true
+		}
+	}
+	return all, failing
+}
+
+// listing returns the current list with its age.
+func (v *view) listing(now time.Time) (*savoryroster.Listing, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.roster.Listing(), max(0, now.Sub(v.roster.ReadAt()))
+}
+
+// listed reports whether a list was ever read.
+func (v *view) listed() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.roster.ReadAt().IsZero()
+}
+
+// storeBroken notes that the store was away: entries may have lapsed meanwhile.
+func (v *view) storeBroken() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.roster.Broken()
+}
+
+// refreshed notes that the list at hand was still the same at a later reading.
+func (v *view) refreshed(revision int64, print uint64, readAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.roster.Listing().Print() == print {
+		v.roster.Confirm(revision, readAt)
+	}
+}
