--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -27,9 +27,6 @@
 type Order struct {
 	Server savoryroster.Server
 	Layers savoryworld.LayerRange
-	// Expected is the number of orders that the engine must have accepted
-	// before; an engine that has moved on refuses the order.
-	Expected int64
 }
 
 // Orderer decides for the engines of one service. The zero value is ready for
@@ -44,9 +41,8 @@
 }
 
 type pendingOrder struct {
-	born     time.Time
-	expected int64
-	at       time.Time
+	born time.Time
+	at   time.Time
 }
 
 // Resume takes the plan that is kept in the store, or nil for none.
@@ -110,7 +106,7 @@
 	loading, serving := 0, false
 	for _, s := range servers {
 		p, ok := o.pending[s.ID]
-		waits := ok && p.born.Equal(s.Born) && s.Orders == p.expected && now.Sub(p.at) < orderPause
+		waits := ok && p.born.Equal(s.Born) && s.Holds != o.plan[s.ID] && now.Sub(p.at) < orderPause
 		if waits || s.Busy {
 			loading++
 		}
@@ -130,8 +126,8 @@
 			continue
 		}
 		loading++
-		o.pending[s.ID] = pendingOrder{born: s.Born, expected: s.Orders, at: now}
-		orders = append(orders, Order{Server: s, Layers: want, Expected: s.Orders})
+		o.pending[s.ID] = pendingOrder{born: s.Born, at: now}
+		orders = append(orders, Order{Server: s, Layers: want})
 	}
 	return orders
 }
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -37,8 +37,6 @@
 	Leaving bool
 	// Slots is the number of requests that the server runs at once.
 	Slots int
-	// Orders is the number of orders that the server accepted since its start.
-	Orders int64
 	// Born is the start of the server's incarnation.
 	Born time.Time
 	// Holds is the layers that an engine holds, Accelerator its kind.
@@ -46,7 +44,7 @@
 	Accelerator string                 `msgpack:",omitempty"`
 	// Busy engines are carrying out an order.
 	Busy bool `msgpack:",omitempty"`
-	// Beat is the store's revision of the server's last heartbeat.
+	// Beat counts the heartbeats of the incarnation.
 	Beat int64
 }
 
@@ -61,8 +59,8 @@
 func (l *Listing) Print() uint64 {
 	d := xxhash.New()
 	for _, s := range l.Servers {
-		_, _ = fmt.Fprintf(d, "%s|%s|%s|%s|%t|%d|%d|%d|%s|%t|%d;", s.ID, s.Service, s.Address, s.Zone,
-			s.Leaving, s.Orders, s.Born.UnixMilli(), s.Holds.From*1000+s.Holds.To, s.Accelerator, s.Busy, s.Beat)
+		_, _ = fmt.Fprintf(d, "%s|%s|%s|%s|%t|%d|%d|%s|%t|%d;", s.ID, s.Service, s.Address, s.Zone,
+			s.Leaving, s.Born.UnixMilli(), s.Holds.From*1000+s.Holds.To, s.Accelerator, s.Busy, s.Beat)
 	}
 	return d.Sum64()
 }
@@ -101,9 +99,8 @@
 	Server
 	// beatAt is when the last heartbeat was first seen.
 	beatAt time.Time
-	// reported says that Holds was reported by the engine itself after its last
-	// order, so that an older heartbeat does not replace it.
-	reported bool
+	// reportedAt is when the engine itself last reported what it holds.
+	reportedAt time.Time
 }
 
 type goneServer struct {
@@ -180,19 +177,19 @@
 		known.beatAt = now
 	}
 	switch {
-	case s.Born.Before(before.Born):
+	case s.Born.Before(before.Born), s.Born.Equal(before.Born) && s.Beat < before.Beat:
+		// A late heartbeat.
 		return Change{}, false
 	case s.Born.After(before.Born):
-		known.Server, known.reported = s, false
+		known.Server, known.reportedAt = s, time.Time{}
 		return Change{Server: s, What: "restarted"}, true
 	}
 	if before.Leaving {
 		s.Leaving = true
 	}
-	if s.Orders < before.Orders || s.Orders == before.Orders && known.reported {
-		s.Orders, s.Holds, s.Busy = before.Orders, before.Holds, before.Busy
-	} else {
-		known.reported = false
+	if !known.reportedAt.IsZero() && now.Sub(known.reportedAt) < beatLag {
+		// The heartbeat may be older than the report.
+		s.Holds, s.Busy = before.Holds, before.Busy
 	}
 	known.Server = s
 	switch {
@@ -205,9 +202,9 @@
 }
 
 // Holds records what an engine itself reported.
-func (r *Roster) Holds(id string, born time.Time, orders int64, holds savoryworld.LayerRange, busy bool) {
-	if e := r.servers[id]; e != nil && e.Born.Equal(born) && orders >= e.Orders {
-		e.Orders, e.Server.Holds, e.Busy, e.reported = orders, holds, busy, true
+func (r *Roster) Holds(id string, born time.Time, holds savoryworld.LayerRange, busy bool, now time.Time) {
+	if e := r.servers[id]; e != nil && e.Born.Equal(born) {
+		e.Server.Holds, e.Busy, e.reportedAt = holds, busy, now
 	}
 }
 
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -194,7 +194,6 @@
 			g.badEntry(v, err)
 			continue
 		}
-		s.Beat = v.Revision
 		l.Servers = append(l.Servers, s)
 	}
 	g.takeList(l, readAt, "store")
@@ -223,7 +222,7 @@
 	for _, c := range g.view.list(l, readAt, now, g.config()) {
 		g.Log.WithFields(log.Fields{
 			"server": c.Server.ID, "change": c.What, "service": c.Server.Service, "zone": c.Server.Zone, "layers": c.Server.Holds.String(),
-			"orders": c.Server.Orders, "revision": l.Revision, "ageMs": now.Sub(readAt).Milliseconds(), "source": source,
+			"beat": c.Server.Beat, "revision": l.Revision, "ageMs": now.Sub(readAt).Milliseconds(), "source": source,
 		}).Info("server changed")
 	}
 	g.metrics.listAge.Set(now.Sub(readAt).Seconds())
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -31,9 +31,6 @@
 	ordersEvery = 200 * time.Millisecond
 	// orderTimeout bounds the call of one order.
 	orderTimeout = 500 * time.Millisecond
-	// quickLoadPart is the part of the load time that loads take before the
-	// first request.
-	quickLoadPart = 0.1
 	// confirmEvery is the interval of the questions whether an order is done,
 	// and confirmTries their number.
 	confirmEvery = 400 * time.Millisecond
@@ -257,11 +254,20 @@
 
 // give gives one order and, while requests are served, asks until it is done.
 func (g *Gate) give(s *savoryrouting.Service, order savoryplacement.Order, serving bool) {
+	report, err := g.engineReport(order.Server)
+	if err != nil {
+		g.Log.WithError(err).WithField("server", order.Server.ID).Info("order not given: the engine does not report")
+		return
+	}
+	if report.Holds == order.Layers || report.Busy {
+		g.view.holds(order.Server.ID, report, g.config(), g.now())
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, order.Expected)
+	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, report.Orders)
 	cancel()
 	entry := g.Log.WithFields(log.Fields{
-		"server": order.Server.ID, "layers": order.Layers.String(), "held": order.Server.Holds.String(), "expected": order.Expected, "result": string(result),
+		"server": order.Server.ID, "layers": order.Layers.String(), "held": report.Holds.String(), "expected": report.Orders, "result": string(result),
 	})
 	if err != nil {
 		entry = entry.WithError(err)
@@ -277,11 +283,9 @@
 		if !g.alive() {
 			return
 		}
-		ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-		report, err := g.Engines.Report(ctx, order.Server.Address)
-		cancel()
-		if err == nil && report.Born.Equal(order.Server.Born) && report.Holds == order.Layers && !report.Busy {
-			g.view.holds(order.Server.ID, report, g.config())
+		report, err := g.engineReport(order.Server)
+		if err == nil && report.Holds == order.Layers && !report.Busy {
+			g.view.holds(order.Server.ID, report, g.config(), g.now())
 			g.Log.WithFields(log.Fields{"server": order.Server.ID, "layers": report.Holds.String(), "orders": report.Orders}).Info("order done")
 			g.wakeRelay()
 			return
@@ -289,3 +293,18 @@
 		g.sleep(confirmEvery)
 	}
 }
+
+// engineReport asks an engine what it holds. An answer of another incarnation
+// is an error.
+func (g *Gate) engineReport(server savoryroster.Server) (Report, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	report, err := g.Engines.Report(ctx, server.Address)
+	if err != nil {
+		return Report{}, err
+	}
+	if !report.Born.Equal(server.Born) {
+		return Report{}, fmt.Errorf("server %s: born at %s, listed as born at %s", server.ID, report.Born, server.Born)
+	}
+	return report, nil
+}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -205,10 +205,10 @@
 }
 
 // holds records what an engine said of itself.
-func (v *view) holds(id string, r Report, cfg *savoryrouting.Config) {
+func (v *view) holds(id string, r Report, cfg *savoryrouting.Config, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.roster.Holds(id, r.Born, r.Orders, r.Holds, r.Busy)
+	v.roster.Holds(id, r.Born, r.Holds, r.Busy, now)
 	v.rebuild(cfg)
 }
 
