--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -35,6 +35,12 @@
 	fullAt = 0.92
 	// hopCost is the time of a hop inside a zone.
 	hopCost = 200 * time.Microsecond
+	// unseenTime is the time in which peers' reports catch up with what they send:
+	// as much again as this entry sent within it is expected from each of them.
+	unseenTime = 250 * time.Millisecond
+	// acrossPart is the part of the bandwidth between zones that chains over
+	// several zones may take: all of them share it, and it may be slow.
+	acrossPart = 0.25
 	// loadWeight stretches the cost of an engine whose memory is full.
 	loadWeight = 3.0
 )
@@ -96,6 +102,30 @@
 	own     map[string]*Load
 	peers   map[string]peerLoad
 	total   map[string]Load
+	// sent is what this entry sent lately, which peers have not reported back
+	// against yet.
+	sent   map[string]*recent
+	across recent
+}
+
+// recent is an amount that fades with time.
+type recent struct {
+	amount float64
+	at     time.Time
+}
+
+// add adds to the amount after fading it.
+func (r *recent) add(amount float64, now time.Time) {
+	r.amount = r.value(now) + amount
+	r.at = now
+}
+
+// value returns what is left of the amount.
+func (r *recent) value(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.amount * math.Exp(-now.Sub(r.at).Seconds()/unseenTime.Seconds())
 }
 
 type peerLoad struct {
@@ -146,8 +176,45 @@
 	return loads
 }
 
-// Began counts a request of tokens on a path.
-func (t *Table) Began(p Path, tokens int) { t.count(p, tokens, 1) }
+// Began counts a request of tokens that is sent on a path.
+func (t *Table) Began(p Path, tokens int, now time.Time) {
+	t.count(p, tokens, 1)
+	if t.sent == nil {
+		t.sent = make(map[string]*recent)
+	}
+	for _, h := range p {
+		if t.sent[h.Server] == nil {
+			t.sent[h.Server] = new(recent)
+		}
+		t.sent[h.Server].add(float64(tokens*h.Layers.Count()), now)
+	}
+	t.across.add(float64(tokens*t.crossings(p)), now)
+}
+
+// crossings counts the hops of a path into another zone.
+func (t *Table) crossings(p Path) int {
+	zones := make(map[string]string, len(t.engines))
+	for i := range t.engines {
+		zones[t.engines[i].ID] = t.engines[i].Zone
+	}
+	n := 0
+	for i := 1; i < len(p); i++ {
+		if zones[p[i].Server] != zones[p[i-1].Server] {
+			n++
+		}
+	}
+	return n
+}
+
+// acrossFree reports whether the link between zones can take another request.
+func (t *Table) acrossFree(tokens int, now time.Time) bool {
+	e := t.engine
+	if e.PipeMbps <= 0 {
+		return true
+	}
+	bytes := (t.across.value(now) + float64(tokens)) * float64(e.ActivationBytes) * float64(1+len(t.peers))
+	return bytes*8/1e6/unseenTime.Seconds() <= acrossPart*e.PipeMbps
+}
 
 // Ended takes it off.
 func (t *Table) Ended(p Path, tokens int) { t.count(p, tokens, -1) }
@@ -170,9 +237,13 @@
 	}
 }
 
-// load returns the whole load of an engine.
-func (t *Table) load(server string) Load {
+// load returns the whole load of an engine with what peers are expected to have
+// sent since they told.
+func (t *Table) load(server string, now time.Time) Load {
 	l := t.total[server]
+	if sent := t.sent[server]; sent != nil {
+		l.Memory += sent.value(now) * float64(len(t.peers))
+	}
 	if own := t.own[server]; own != nil {
 		l.Requests += own.Requests
 		l.Memory += own.Memory
@@ -188,6 +259,8 @@
 	Avoid func(server string) bool
 	// First, if set, names the server that must be the first hop.
 	First string
+	// Across allows a chain over several zones where no zone has one.
+	Across bool
 }
 
 // Choice is a chosen path.
@@ -210,12 +283,10 @@
 )
 
 // Choose returns the path with the least cost. Paths inside one zone are tried
-// first; a path over several zones is used only where no zone has its own.
-func (t *Table) Choose(r Request) (Choice, error) {
-	if t.engine == nil {
-		return Choice{}, ErrNoPath
-	}
-	if t.engine.Layers == 0 {
+// first; a path over several zones is used only where the request allows it, no
+// zone has its own and the link between zones has room.
+func (t *Table) Choose(r Request, now time.Time) (Choice, error) {
+	if t.engine == nil || t.engine.Layers == 0 {
 		return Choice{}, ErrNoPath
 	}
 	byZone := make(map[string][]candidate)
@@ -226,7 +297,7 @@
 		if e.Holds.Empty() || e.Kind == nil || r.Avoid != nil && r.Avoid(e.ID) {
 			continue
 		}
-		c := t.candidate(e, r)
+		c := t.candidate(e, r, now)
 		full = full || c.full
 		byZone[e.Zone] = append(byZone[e.Zone], c)
 		all = append(all, c)
@@ -246,7 +317,7 @@
 			best, cost = Choice{Path: path, Fill: fill}, c
 		}
 	}
-	if best.Path == nil {
+	if best.Path == nil && r.Across && t.acrossFree(r.Tokens, now) {
 		path, c, fill := t.search(all, r, t.Zone)
 		best, cost = Choice{Path: path, Fill: fill}, c
 	}
@@ -274,8 +345,8 @@
 	full     bool
 }
 
-func (t *Table) candidate(e *Engine, r Request) candidate {
-	l := t.load(e.ID)
+func (t *Table) candidate(e *Engine, r Request, now time.Time) candidate {
+	l := t.load(e.ID, now)
 	room := t.engine.Room(e.Kind, e.Holds.Count())
 	fill := 1.0
 	if room > 0 {
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -1,18 +1,22 @@
 // Package savoryplacement decides which engine holds which layers of a model.
 //
 // Layers are divided into units of equal size that fit the smallest kind of
-// accelerator. Each engine holds a run of units. Engines of one availability
-// zone form a group that covers all layers, so that chains stay inside the
-// zone, where no shared link limits them; zones that are too small for that
-// share a group. Within a group the fast engines cover all units once, and the
-// others double the units with the least memory for requests, so that the loss
-// of an engine leaves a replica or only one unit to load.
+// accelerator, and each engine holds a run of units. Engines of one
+// availability zone form a group that covers all layers, so that chains stay
+// inside the zone, where no shared link limits them; zones that are too small
+// for that share a group.
+//
+// Within a group a local search weighs the memory for requests of each unit,
+// and what is left of it when the unit's best engine is lost. A plan in force
+// is changed only where that gains clearly more than the load costs.
 //
 // The package decides only: it does no I/O and reads no clock.
 package savoryplacement
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"savorycart.example/savorycore/savoryrouting"
@@ -23,12 +27,24 @@
 	// unitPart is the part of the smallest accelerator's layers that one unit
 	// may take; the rest is memory for requests.
 	unitPart = 0.85
-	// requestPart is the least request memory of an engine, as a part of the
-	// memory of its layers, at which it takes another unit by choice.
-	requestPart = 0.8
 	// groupFill is the largest part of a group's layers that one copy of the
 	// model may take; beyond it too little memory is left for requests.
 	groupFill = 0.85
+	// lossWeight is the weight of a unit's memory after the loss of its best
+	// engine, beside 1 for its memory now.
+	lossWeight = 0.5
+	// leastRoom is the part of the mean memory per unit that is added to each,
+	// which bounds the worth of a first replica.
+	leastRoom = 0.02
+	// speedWeight is the weight of the time of a pass over the fastest engines,
+	// in multiples of the fastest kind.
+	speedWeight = 0.3
+	// moveCost is the least gain for which an engine that serves is moved.
+	moveCost = 2.0
+	// maxMoves bounds the moves of one replan, so that a group is not emptied.
+	maxMoves = 3
+	// maxSearch bounds the steps of the search for a first plan.
+	maxSearch = 200
 )
 
 // Engine is one engine that can be placed.
@@ -43,15 +59,6 @@
 // Plan maps the ID of an engine to the layers that it is to hold.
 type Plan map[string]savoryworld.LayerRange
 
-// Clone returns a copy of p.
-func (p Plan) Clone() Plan {
-	c := make(Plan, len(p))
-	for id, layers := range p {
-		c[id] = layers
-	}
-	return c
-}
-
 // planner holds the figures of one call.
 type planner struct {
 	engine *savoryrouting.Engine
@@ -59,45 +66,63 @@
 	units  int
 }
 
-// New returns a plan for engines. An engine of unknown kind is left out.
+// run is an engine with the units that it is to hold.
+type run struct {
+	Engine
+	kind *savoryrouting.Accelerator
+	// most is the number of units that fit.
+	most int
+	// at is the first unit, n their number; n is 0 for an engine without any.
+	at int
+	n  int
+	// rooms is the request memory per unit in tokens, by number of units.
+	rooms []float64
+	// moved says that the run was changed in this call.
+	moved bool
+}
+
+// New returns a plan for engines that hold nothing. Engines of an unknown kind
+// are left out.
 func New(e *savoryrouting.Engine, engines []Engine) Plan {
-	p := newPlanner(e, engines)
-	plan := make(Plan)
-	if p == nil {
-		return plan
-	}
-	for _, group := range p.groups(engines) {
-		p.place(group, plan)
-	}
-	return plan
+	return replan(e, engines, nil, 0, maxSearch)
 }
 
-// Extend returns the plan after engines joined or were lost. Engines that hold
-// their part keep it, unless a unit of their group would be left without any.
+// Extend returns the plan after engines joined or were lost. Engines keep their
+// part unless a move gains clearly more than the load costs.
 func Extend(e *savoryrouting.Engine, old Plan, engines []Engine) Plan {
-	p := newPlanner(e, engines)
+	return replan(e, engines, old, moveCost, maxMoves)
+}
+
+func replan(e *savoryrouting.Engine, engines []Engine, old Plan, cost float64, moves int) Plan {
 	plan := make(Plan)
+	p := newPlanner(e, engines)
 	if p == nil {
 		return plan
 	}
 	for _, group := range p.groups(engines) {
-		p.extend(group, old, plan)
+		runs := p.runs(group)
+		free := p.keep(runs, old)
+		p.settle(runs, free)
+		p.search(runs, cost, moves)
+		for _, r := range runs {
+			if r.n > 0 {
+				plan[r.ID] = p.layers(r)
+			}
+		}
 	}
 	return plan
 }
 
 func newPlanner(e *savoryrouting.Engine, engines []Engine) *planner {
 	smallest := 0
-	for _, engine := range engines {
-		a := e.Accelerator(engine.Accelerator)
-		if a == nil {
-			continue
-		}
-		if n := e.MaxLayers(a); n > 0 && (smallest == 0 || n < smallest) {
+	for i := range e.Accelerators {
+		// All kinds of the service count, present or not: units must not change
+		// while engines come and go.
+		if n := e.MaxLayers(&e.Accelerators[i]); n > 0 && (smallest == 0 || n < smallest) {
 			smallest = n
 		}
 	}
-	if smallest == 0 || e.Layers == 0 {
+	if smallest == 0 || e.Layers == 0 || len(engines) == 0 {
 		return nil
 	}
 	unit := max(1, int(float64(smallest)*unitPart))
@@ -116,27 +141,17 @@
 			byZone[e.Zone] = append(byZone[e.Zone], e)
 		}
 	}
-	zones := make([]string, 0, len(byZone))
-	for zone := range byZone {
-		zones = append(zones, zone)
-	}
-	slices.Sort(zones)
 	var groups [][]Engine
 	var small []Engine
-	for _, zone := range zones {
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		if p.covers(byZone[zone]) {
 			groups = append(groups, byZone[zone])
 		} else {
 			small = append(small, byZone[zone]...)
 		}
 	}
-	switch {
-	case len(small) == 0:
-	case p.covers(small) || len(groups) == 0:
+	if len(small) > 0 {
 		groups = append(groups, small)
-	default:
-		// Too few for a copy of their own: they double parts of the first group.
-		groups[0] = append(slices.Clone(groups[0]), small...)
 	}
 	return groups
 }
@@ -152,35 +167,19 @@
 	return float64(p.engine.Layers) <= groupFill*float64(layers) && units >= p.units
 }
 
-// run is an engine with the number of units it is to hold.
-type run struct {
-	Engine
-	kind  *savoryrouting.Accelerator
-	units int
-	most  int
-}
-
-// room returns the request memory per unit in tokens.
-func (p *planner) room(r *run, units int) float64 {
-	return p.engine.Room(r.kind, units*p.unit) / float64(units*p.unit)
-}
-
-// runs returns the engines of a group with their preferred number of units, the
-// fastest first.
+// runs returns the engines of a group that can hold a unit, the fastest first.
 func (p *planner) runs(group []Engine) []*run {
 	var runs []*run
 	for _, e := range group {
 		r := &run{Engine: e, kind: p.engine.Accelerator(e.Accelerator)}
 		r.most = min(p.units, p.engine.MaxLayers(r.kind)/p.unit)
-		if r.most == 0 {
-			continue
+		r.rooms = make([]float64, r.most+1)
+		for n := 1; n <= r.most; n++ {
+			r.rooms[n] = p.engine.Room(r.kind, n*p.unit) / float64(n*p.unit)
 		}
-		r.units = 1
-		for r.units < r.most && p.engine.Room(r.kind, (r.units+1)*p.unit)*p.layerBytes() >=
-			requestPart*float64((r.units+1)*p.unit)*p.engine.LayerMB*1e6 {
-			r.units++
+		if r.most > 0 {
+			runs = append(runs, r)
 		}
-		runs = append(runs, r)
 	}
 	slices.SortStableFunc(runs, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.kind.StepFactor, b.kind.StepFactor), cmp.Compare(a.ID, b.ID))
@@ -188,149 +187,115 @@
 	return runs
 }
 
-// layerBytes is the request memory of one token on one layer.
-func (p *planner) layerBytes() float64 {
-	return float64(p.engine.TokenBytes) / float64(max(1, p.engine.Layers))
+// layers returns the layers of a run.
+func (p *planner) layers(r *run) savoryworld.LayerRange {
+	return savoryworld.LayerRange{From: r.at * p.unit, To: min(p.engine.Layers, (r.at+r.n)*p.unit)}
 }
 
-// place plans a group from nothing.
-func (p *planner) place(group []Engine, plan Plan) {
-	runs := p.runs(group)
-	p.widen(runs)
-	rooms := make([]float64, p.units)
-	next := 0
+// keep gives each engine what the old plan says or what it holds, and returns
+// those that have neither.
+func (p *planner) keep(runs []*run, old Plan) []*run {
+	var free []*run
 	for _, r := range runs {
-		at := next
-		if next < p.units {
-			r.units = min(r.units, p.units-next)
-			next += r.units
-		} else {
-			r.units, at = 1, p.weakest(rooms)
+		layers, ok := old[r.ID]
+		if !ok {
+			layers = r.Holds
+		}
+		n := (layers.Count() + p.unit - 1) / p.unit
+		if layers.Empty() || layers.From%p.unit != 0 || n > r.most || layers.To > p.engine.Layers {
+			free = append(free, r)
+			continue
 		}
-		p.assign(r, at, rooms, plan)
+		r.at, r.n = layers.From/p.unit, n
 	}
+	return free
 }
 
-// widen raises the number of units until a group covers all of them, those with
-// the most memory for requests left first.
-func (p *planner) widen(runs []*run) {
-	total := 0
-	for _, r := range runs {
-		total += r.units
-	}
-	for total < p.units {
-		var best *run
-		for _, r := range runs {
-			if r.units < r.most && (best == nil || p.room(r, r.units+1) > p.room(best, best.units+1)) {
-				best = r
-			}
-		}
-		if best == nil {
-			return
-		}
-		best.units++
-		total++
+// settle gives the free engines their best units, one after the other.
+func (p *planner) settle(runs, free []*run) {
+	for _, r := range free {
+		p.best(runs, r)
 	}
 }
 
-// weakest returns the unit with the least memory for requests.
-func (p *planner) weakest(rooms []float64) int {
-	at := 0
-	for i, room := range rooms {
-		if room < rooms[at] {
-			at = i
+// best gives a run the units that raise the worth of the group most, and returns
+// the gain.
+func (p *planner) best(runs []*run, r *run) float64 {
+	at, n := r.at, r.n
+	before := p.worth(runs)
+	best, bestAt, bestN := math.Inf(-1), at, n
+	for count := 1; count <= r.most; count++ {
+		for first := 0; first+count <= p.units; first++ {
+			r.at, r.n = first, count
+			if worth := p.worth(runs); worth > best {
+				best, bestAt, bestN = worth, first, count
+			}
 		}
 	}
-	return at
+	r.at, r.n = bestAt, bestN
+	return best - before
 }
 
-// assign gives r its units from unit at on.
-func (p *planner) assign(r *run, at int, rooms []float64, plan Plan) {
-	plan[r.ID] = savoryworld.LayerRange{From: at * p.unit, To: min(p.engine.Layers, (at+r.units)*p.unit)}
-	for u := at; u < min(p.units, at+r.units); u++ {
-		rooms[u] += p.room(r, r.units)
+// search moves engines while the worth of the group rises by more than cost, at
+// most moves times.
+func (p *planner) search(runs []*run, cost float64, moves int) {
+	for range moves {
+		var winner *run
+		bestGain, bestAt, bestN := max(cost, 1e-6), 0, 0
+		for _, r := range runs {
+			if r.moved && cost > 0 {
+				continue
+			}
+			at, n := r.at, r.n
+			if gain := p.best(runs, r); gain > bestGain {
+				winner, bestGain, bestAt, bestN = r, gain, r.at, r.n
+			}
+			r.at, r.n = at, n
+		}
+		if winner == nil {
+			return
+		}
+		winner.at, winner.n, winner.moved = bestAt, bestN, true
 	}
 }
 
-// extend keeps the parts of a group's engines and fills what is missing.
-func (p *planner) extend(group []Engine, old, plan Plan) {
-	runs := p.runs(group)
-	replicas := make([]int, p.units)
-	rooms := make([]float64, p.units)
-	var free []*run
-	kept := make(map[string]*run)
+// worth is higher the more memory for requests each unit has, now and without
+// its best engine, and the faster its engines are. The weakest units count most.
+func (p *planner) worth(runs []*run) float64 {
+	total := make([]float64, p.units)
+	largest := make([]float64, p.units)
+	fastest := make([]float64, p.units)
+	mean := 0.0
 	for _, r := range runs {
-		layers, ok := old[r.ID]
-		if !ok && !r.Holds.Empty() {
-			layers, ok = r.Holds, true
-		}
-		if !ok || layers.Empty() || layers.From%p.unit != 0 {
-			free = append(free, r)
-			continue
-		}
-		r.units = min(r.most, max(1, (layers.Count()+p.unit-1)/p.unit))
-		plan[r.ID] = layers
-		kept[r.ID] = r
-		for u := layers.From / p.unit; u < min(p.units, layers.From/p.unit+r.units); u++ {
-			replicas[u]++
-			rooms[u] += p.room(r, r.units)
-		}
-	}
-	for _, r := range free {
-		at := p.weakest(rooms)
-		// Takes neighbours that lack any replica as well, as far as they fit.
-		r.units = 1
-		if replicas[at] == 0 {
-			for r.units < r.most && at+r.units < p.units && replicas[at+r.units] == 0 {
-				r.units++
+		// The scale does not depend on the runs.
+		mean += r.rooms[1]
+		for u := r.at; u < r.at+r.n; u++ {
+			room := r.rooms[r.n]
+			total[u] += room
+			largest[u] = max(largest[u], room)
+			if fastest[u] == 0 || r.kind.StepFactor < fastest[u] {
+				fastest[u] = r.kind.StepFactor
 			}
 		}
-		p.assign(r, at, rooms, plan)
-		for u := at; u < at+r.units; u++ {
-			replicas[u]++
-		}
 	}
-	p.cover(runs, replicas, kept, plan)
-}
-
-// cover moves engines that only double other units to units without a replica.
-func (p *planner) cover(runs []*run, replicas []int, kept map[string]*run, plan Plan) {
+	mean /= float64(p.units)
+	if mean == 0 {
+		mean = 1
+	}
+	worth := 0.0
 	for u := range p.units {
-		if replicas[u] > 0 {
-			continue
-		}
-		best := p.spare(runs, replicas, plan)
-		if best == nil {
-			return
-		}
-		for v := plan[best.ID].From / p.unit; v < plan[best.ID].From/p.unit+best.units; v++ {
-			replicas[v]--
-		}
-		delete(kept, best.ID)
-		best.units = 1
-		plan[best.ID] = savoryworld.LayerRange{From: u * p.unit, To: min(p.engine.Layers, (u+1)*p.unit)}
-		replicas[u]++
+		worth -= 1 / (total[u]/mean + leastRoom)
+		worth -= lossWeight / ((total[u]-largest[u])/mean + leastRoom)
+		worth -= speedWeight * fastest[u] / p.fastestKind()
 	}
+	return worth
 }
 
-// spare returns the engine whose units all have another replica, with the most
-// replicas, the slowest first: it is missed least.
-func (p *planner) spare(runs []*run, replicas []int, plan Plan) *run {
-	var best *run
-	most := 1
-	for i := len(runs) - 1; i >= 0; i-- {
-		r := runs[i]
-		layers, ok := plan[r.ID]
-		if !ok {
-			continue
-		}
-		least := p.units
-		for u := layers.From / p.unit; u < min(p.units, layers.From/p.unit+r.units); u++ {
-			least = min(least, replicas[u])
-		}
-		if least > most && least <= len(runs) {
-			best, most = r, least
-		}
+// fastestKind returns the least step factor of the service.
+func (p *planner) fastestKind() float64 {
+	least := math.Inf(1)
+	for _, a := range p.engine.Accelerators {
+		least = min(least, a.StepFactor)
 	}
-	return best
+	return max(least, 1e-3)
 }
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -105,6 +105,7 @@
 
 type goneServer struct {
 	born time.Time
+	beat int64
 	at   time.Time
 }
 
@@ -151,7 +152,7 @@
 			continue
 		}
 		delete(r.servers, id)
-		r.gone[id] = goneServer{born: e.Born, at: now}
+		r.gone[id] = goneServer{born: e.Born, beat: e.Beat, at: now}
 		changes = append(changes, Change{Server: e.Server, What: "gone"})
 	}
 	for id, g := range r.gone {
@@ -166,7 +167,8 @@
 func (r *Roster) take(s Server, now time.Time) (Change, bool) {
 	known := r.servers[s.ID]
 	if known == nil {
-		if g, ok := r.gone[s.ID]; ok && s.Leaving && !s.Born.After(g.born) {
+		if g, ok := r.gone[s.ID]; ok && (s.Born.Before(g.born) || s.Born.Equal(g.born) && (s.Beat <= g.beat || s.Leaving)) {
+			// An older list, or a server that only says that it leaves.
 			return Change{}, false
 		}
 		r.servers[s.ID] = &entry{Server: s, beatAt: now}
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/netip"
 	"time"
@@ -81,19 +80,12 @@
 	ReadyPath string
 }
 
-// ErrHistoryGone says that a watch asked for changes that the store no longer
-// has.
-var ErrHistoryGone = errors.New("the store no longer has this history")
-
 // Store is the platform's key-value service.
 type Store struct {
 	Get func(ctx context.Context, key string) (savorystore.Value, error)
 	// List reads all keys with a prefix, over all pages, and the store's
 	// revision. A stale reading is cheaper and may be seconds old.
 	List func(ctx context.Context, prefix string, stale bool) ([]savorystore.Value, int64, error)
-	// Watch waits for changes after a revision and returns them with the
-	// revision to go on from. ErrHistoryGone asks for a new reading.
-	Watch func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]savorystore.Value, int64, error)
 	// Swap runs one compare-and-swap.
 	Swap      func(ctx context.Context, swap savorystore.Swap) (savorystore.SwapResult, error)
 	Grant     func(ctx context.Context, ttl time.Duration) (savorystore.Lease, error)
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -28,13 +27,10 @@
 	stalePart = 0.55
 	// storeTimeout bounds a call of the store.
 	storeTimeout = time.Second
-	// storePause is the pause after a failed call.
-	storePause = 300 * time.Millisecond
-	// watchTime is how long one watch waits; the store bounds it to 30 s.
-	watchTime = 20 * time.Second
-	// configPause is the least time between two readings of the configuration
-	// by an entry that hears nothing.
-	configPause = 500 * time.Millisecond
+	// storePause is the pause after a failed call; it doubles up to
+	// storePauseMost.
+	storePause     = 300 * time.Millisecond
+	storePauseMost = 1200 * time.Millisecond
 	// storeFresh is the age of the last answer up to which the store counts as
 	// working.
 	storeFresh = 2 * time.Second
@@ -64,71 +60,55 @@
 	return nil
 }
 
-// followConfig watches the configuration while this entry is a reader, and
-// reads it while the entry hears nothing.
+// followConfig reads the configuration while this entry is the reader or hears
+// nothing. It asks at intervals: a watch may be silent while the configuration
+// changes.
 func (g *Gate) followConfig() error {
-	after := int64(0)
+	return g.readInTurn(g.readConfig)
+}
+
+// followList does the same with the list of servers.
+func (g *Gate) followList() error {
+	return g.readInTurn(g.readList)
+}
+
+// readInTurn calls read at the interval of the readings while this entry is the
+// reader or its list has grown old. Failed readings are spaced out, since each
+// entry does them while the store is away.
+func (g *Gate) readInTurn(read func() error) error {
+	var readAt time.Time
+	pause := storePause
 	for g.alive() {
-		if !g.readsConfig() {
-			after = 0
-			g.sleep(tick)
+		now := g.now()
+		every := time.Duration(listPart * float64(g.Settings().DrainTime))
+		due := now.Sub(readAt) >= every && (g.relay.rank(now) < readers || g.listAge() > g.staleAge() || g.table.Load() == nil)
+		if !due {
+			g.sleep(tick / 2)
 			continue
 		}
-		var err error
-		if after == 0 {
-			after, err = g.readConfig()
-		} else {
-			after, err = g.watchConfig(after)
-		}
-		if err != nil {
-			g.sleep(storePause)
+		readAt = now
+		if err := read(); err != nil {
+			g.sleep(pause)
+			pause = min(2*pause, storePauseMost)
+			continue
 		}
+		pause = storePause
 	}
 	return nil
 }
 
-// readsConfig reports whether this entry reads the configuration now.
-func (g *Gate) readsConfig() bool {
-	return g.table.Load() == nil || g.relay.rank(g.now()) < configReaders || g.listAge() > g.staleAge()
-}
-
-// readConfig reads the configuration and returns the revision to watch from.
-func (g *Gate) readConfig() (int64, error) {
+// readConfig reads the configuration.
+func (g *Gate) readConfig() error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	v, err := g.Store.Get(ctx, g.Store.ConfigKey)
 	g.storeAnswered("get", err)
-	if err != nil {
-		return 0, err
-	}
-	if !v.Found() {
-		g.sleep(storePause)
-		return 0, nil
+	if err != nil || !v.Found() || v.Revision == g.configRevision {
+		return err
 	}
+	g.configRevision = v.Revision
 	g.takeConfig(v)
-	return v.Revision, nil
-}
-
-// watchConfig waits for a newer configuration.
-func (g *Gate) watchConfig(after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(g.ctx, watchTime+storeTimeout)
-	defer cancel()
-	// A reader that lost its rank ends its watch; a waiting one costs nothing.
-	values, next, err := g.Store.Watch(ctx, g.Store.ConfigKey, after, watchTime)
-	if errors.Is(err, ErrHistoryGone) {
-		g.Log.WithField("after", after).Info("history of the store is gone; the configuration is read anew")
-		return 0, nil
-	}
-	g.storeAnswered("watch", err)
-	if err != nil {
-		return 0, err
-	}
-	for _, v := range values {
-		if v.Key == g.Store.ConfigKey && v.Body != nil {
-			g.takeConfig(v)
-		}
-	}
-	return max(after, next), nil
+	return nil
 }
 
 func (g *Gate) takeConfig(v savorystore.Value) {
@@ -143,27 +123,6 @@
 	}
 }
 
-// followList reads the list of servers while this entry is the reader or its
-// list has grown old.
-func (g *Gate) followList() error {
-	var readAt time.Time
-	for g.alive() {
-		now := g.now()
-		every := time.Duration(listPart * float64(g.Settings().DrainTime))
-		reader := g.relay.rank(now) < listReaders
-		due := now.Sub(readAt) >= every && (reader || g.listAge() > g.staleAge())
-		if !due {
-			g.sleep(tick / 2)
-			continue
-		}
-		readAt = now
-		if err := g.readList(); err != nil {
-			g.sleep(storePause)
-		}
-	}
-	return nil
-}
-
 func (g *Gate) staleAge() time.Duration {
 	return time.Duration(stalePart * float64(g.Settings().DrainTime))
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -72,6 +72,9 @@
 	storeAt    atomic.Int64
 	storeLost  atomic.Bool
 	badEntries map[string]string
+	// configRevision is the store's revision of the configuration that was read
+	// last.
+	configRevision int64
 
 	budgetMu sync.Mutex
 	budgets  map[string]*savorylimit.RetryBudget
@@ -333,7 +336,7 @@
 		}
 		if err != nil {
 			g.Log.WithError(err).Debug("not registered")
-			g.sleep(storePause)
+			g.sleep(registerTime / 6)
 			continue
 		}
 		g.sleep(registerTime / 3)
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -58,7 +58,7 @@
 		c.decided(log.Fields{
 			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.flights, "slots": choice.slots, "avoided": choice.avoided,
 		}, "server chosen")
-		res := c.sendPlain(choice)
+		res := c.sendPlain(choice, runs+1 < c.route.Attempts)
 		if res.answer != nil && res.err == nil && res.verdict == savoryverdict.Ran {
 			c.passPlain(res)
 			return
@@ -130,12 +130,12 @@
 }
 
 // sendPlain sends the request to one server and reads the beginning of its
-// answer.
-func (c *call) sendPlain(choice plainChoice) plainResult {
+// answer. If another may be tried after it, a slow one is given up early.
+func (c *call) sendPlain(choice plainChoice, another bool) plainResult {
 	id := choice.server.ID
 	defer c.g.view.endPlain(id)
 	ctx, cancel := c.context()
-	if c.route.Repeatable() {
+	if another && c.route.Repeatable() {
 		left := c.deadline.Sub(c.g.now())
 		ctx, cancel = both(cancel)(context.WithTimeoutCause(ctx, time.Duration(attemptPart*float64(left)), errSlow))
 	}
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -18,7 +18,7 @@
 
 const (
 	// syncEvery is the interval of the exchanges with peers.
-	syncEvery = 400 * time.Millisecond
+	syncEvery = 250 * time.Millisecond
 	// syncTimeout bounds one exchange.
 	syncTimeout = 500 * time.Millisecond
 	// peerFresh is the time since a peer's last word up to which it counts as
@@ -31,10 +31,9 @@
 	// fullMesh is the most peers with which each round exchanges news; of more,
 	// a round takes so many at random.
 	fullMesh = 12
-	// listReaders entries read the list of servers, and configReaders watch the
-	// configuration.
-	listReaders   = 1
-	configReaders = 2
+	// readers is the number of entries that read configuration and list from the
+	// store for all.
+	readers = 1
 )
 
 // relay knows the other entries.
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -90,11 +90,12 @@
 	return max(1, prompt+answer)
 }
 
-// choose picks a chain. A stream that has begun waits for one for a while.
+// choose picks a chain. A stream that may have run waits for one for a while,
+// since its caller cannot be told that it has not.
 func (s *stream) choose() (savorypath.Choice, error) {
 	for {
 		now := s.g.now()
-		r := savorypath.Request{Tokens: s.tokens, Avoid: func(id string) bool { return s.avoid[id] }}
+		r := savorypath.Request{Tokens: s.tokens, Across: true, Avoid: func(id string) bool { return s.avoid[id] }}
 		choice, err := s.chooseFrom(r, now)
 		if err == nil {
 			s.decided(log.Fields{
@@ -103,7 +104,7 @@
 			}, "chain chosen")
 			return choice, nil
 		}
-		if s.count == 0 || now.Sub(s.lastAt) > patience || now.After(s.deadline) {
+		if !s.mayHaveRun || now.Sub(s.lastAt) > patience || now.After(s.deadline) {
 			return choice, err
 		}
 		select {
@@ -303,9 +304,8 @@
 			fault = a.path[0].Server
 		}
 		a.avoid[fault] = true
-		if a.answer.StatusCode == http.StatusServiceUnavailable && fault != a.path[0].Server {
-			a.g.view.failed(fault, true, a.g.now())
-		}
+		// The engine may only be short of memory, so it rests for a moment.
+		a.g.view.failed(fault, false, a.g.now())
 		return
 	}
 	a.mayHaveRun = true
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -108,9 +108,9 @@
 	avoid := r.Avoid
 	r.Avoid = func(id string) bool { return v.health.Avoided(id, now) || avoid != nil && avoid(id) }
 	t := v.table(service)
-	choice, err := t.Choose(r)
+	choice, err := t.Choose(r, now)
 	if err == nil {
-		t.Began(choice.Path, r.Tokens)
+		t.Began(choice.Path, r.Tokens, now)
 	}
 	return choice, err
 }
