--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -30,14 +30,17 @@
 	// farCost is the time added for a hop into another availability zone, above
 	// its delay: all chains share the link between zones.
 	farCost = 20 * time.Millisecond
-	// fullAt is the part of an engine's memory up to which requests are
-	// admitted; the rest absorbs answers that are longer than estimated.
-	fullAt = 0.92
+	// fullAt is the part of an engine's memory up to which requests are admitted.
+	// Each counts with its whole answer from its start, so the memory in use is
+	// less.
+	fullAt = 1.0
 	// hopCost is the time of a hop inside a zone.
 	hopCost = 200 * time.Microsecond
-	// unseenTime is the time in which peers' reports catch up with what they send:
-	// as much again as this entry sent within it is expected from each of them.
+	// unseenTime is the time in which peers' reports catch up with what they send.
+	// The load of each peer is expected to have grown since by as much as this
+	// entry's, half of it unseen.
 	unseenTime = 250 * time.Millisecond
+	unseenPart = 0.5
 	// acrossPart is the part of the bandwidth between zones that chains over
 	// several zones may take: all of them share it, and it may be slow.
 	acrossPart = 0.25
@@ -102,9 +105,8 @@
 	own     map[string]*Load
 	peers   map[string]peerLoad
 	total   map[string]Load
-	// sent is what this entry sent lately, which peers have not reported back
-	// against yet.
-	sent   map[string]*recent
+	// grown is the recent growth of this entry's load.
+	grown  map[string]*recent
 	across recent
 }
 
@@ -178,16 +180,7 @@
 
 // Began counts a request of tokens that is sent on a path.
 func (t *Table) Began(p Path, tokens int, now time.Time) {
-	t.count(p, tokens, 1)
-	if t.sent == nil {
-		t.sent = make(map[string]*recent)
-	}
-	for _, h := range p {
-		if t.sent[h.Server] == nil {
-			t.sent[h.Server] = new(recent)
-		}
-		t.sent[h.Server].add(float64(tokens*h.Layers.Count()), now)
-	}
+	t.count(p, tokens, 1, now)
 	t.across.add(float64(tokens*t.crossings(p)), now)
 }
 
@@ -217,11 +210,12 @@
 }
 
 // Ended takes it off.
-func (t *Table) Ended(p Path, tokens int) { t.count(p, tokens, -1) }
+func (t *Table) Ended(p Path, tokens int, now time.Time) { t.count(p, tokens, -1, now) }
 
-func (t *Table) count(p Path, tokens, sign int) {
+func (t *Table) count(p Path, tokens, sign int, now time.Time) {
 	if t.own == nil {
 		t.own = make(map[string]*Load)
+		t.grown = make(map[string]*recent)
 	}
 	for _, h := range p {
 		l := t.own[h.Server]
@@ -231,6 +225,10 @@
 		}
 		l.Requests += sign
 		l.Memory += float64(sign * tokens * h.Layers.Count())
+		if t.grown[h.Server] == nil {
+			t.grown[h.Server] = new(recent)
+		}
+		t.grown[h.Server].add(float64(sign*tokens*h.Layers.Count()), now)
 		if l.Requests == 0 {
 			delete(t.own, h.Server)
 		}
@@ -241,8 +239,8 @@
 // sent since they told.
 func (t *Table) load(server string, now time.Time) Load {
 	l := t.total[server]
-	if sent := t.sent[server]; sent != nil {
-		l.Memory += sent.value(now) * float64(len(t.peers))
+	if grown := t.grown[server]; grown != nil {
+		l.Memory += max(0, grown.value(now)) * unseenPart * float64(len(t.peers))
 	}
 	if own := t.own[server]; own != nil {
 		l.Requests += own.Requests
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -119,7 +119,7 @@
 func (v *view) endPath(service string, p savorypath.Path, tokens int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.table(service).Ended(p, tokens)
+	v.table(service).Ended(p, tokens, time.Now())
 }
 
 // plainChoice is a server chosen for a request without a chain.
