--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -3,7 +3,6 @@
 // This file defines Orderer, which turns a plan into orders to engines.
 
 import (
-	"maps"
 	"time"
 
 	"savorycart.example/savorycore/savoryroster"
@@ -27,13 +26,15 @@
 type Order struct {
 	Server savoryroster.Server
 	Layers savoryworld.LayerRange
+	// Urgent says that no usable engine of the zone holds some of the layers:
+	// what still runs on the engine's old layers goes on elsewhere at once.
+	Urgent bool
 }
 
 // Orderer decides for the engines of one service. The zero value is ready for
 // use after Resume; it is not safe for concurrent use.
 type Orderer struct {
 	plan    Plan
-	planned bool
 	pending map[string]pendingOrder
 	firstAt time.Time
 	newAt   time.Time
@@ -45,9 +46,10 @@
 	at   time.Time
 }
 
-// Resume takes the plan that is kept in the store, or nil for none.
+// Resume takes the plan that is kept in the store; one without units stands for
+// none.
 func (o *Orderer) Resume(plan Plan) {
-	o.plan, o.planned = plan, plan != nil
+	o.plan = plan
 	o.pending = make(map[string]pendingOrder)
 	o.known = make(map[string]bool)
 }
@@ -71,42 +73,25 @@
 	if o.firstAt.IsZero() {
 		o.firstAt = now
 	}
-	if !o.planned {
-		if now.Sub(o.newAt) < settleTime && now.Sub(o.firstAt) < settleMost {
-			return false
-		}
-		o.planned = true
-		if anyHolds(engines) {
-			o.plan = Extend(e, nil, engines)
-		} else {
-			o.plan = New(e, engines)
-		}
-		return true
+	if o.plan.Unit == 0 && now.Sub(o.newAt) < settleTime && now.Sub(o.firstAt) < settleMost {
+		return false
 	}
 	next := Extend(e, o.plan, engines)
-	if maps.Equal(next, o.plan) {
+	if next.Equal(o.plan) {
 		return false
 	}
 	o.plan = next
 	return true
 }
 
-func anyHolds(engines []Engine) bool {
-	for _, engine := range engines {
-		if !engine.Holds.Empty() {
-			return true
-		}
-	}
-	return false
-}
-
 // Orders returns the orders to give now. While any engine serves, no more loads
 // run at once than the weight store carries at full speed.
-func (o *Orderer) Orders(e *savoryrouting.Engine, servers []savoryroster.Server, now time.Time) []Order {
+func (o *Orderer) Orders(e *savoryrouting.Engine, servers []savoryroster.Server, failing map[string]bool, now time.Time) []Order {
+	held := heldLayers(e, servers, failing)
 	loading, serving := 0, false
 	for _, s := range servers {
 		p, ok := o.pending[s.ID]
-		waits := ok && p.born.Equal(s.Born) && s.Holds != o.plan[s.ID] && now.Sub(p.at) < orderPause
+		waits := ok && p.born.Equal(s.Born) && s.Holds != o.plan.Layers[s.ID] && now.Sub(p.at) < orderPause
 		if waits || s.Busy {
 			loading++
 		}
@@ -114,7 +99,7 @@
 	}
 	var orders []Order
 	for _, s := range servers {
-		want, ok := o.plan[s.ID]
+		want, ok := o.plan.Layers[s.ID]
 		if !ok || want.Empty() || s.Holds == want || s.Leaving || s.Busy {
 			continue
 		}
@@ -127,7 +112,33 @@
 		}
 		loading++
 		o.pending[s.ID] = pendingOrder{born: s.Born, at: now}
-		orders = append(orders, Order{Server: s, Layers: want})
+		orders = append(orders, Order{Server: s, Layers: want, Urgent: serving && lacks(held[s.Zone], want)})
 	}
 	return orders
 }
+
+// heldLayers returns for each zone which layers a usable engine holds.
+func heldLayers(e *savoryrouting.Engine, servers []savoryroster.Server, failing map[string]bool) map[string][]bool {
+	held := make(map[string][]bool)
+	for _, s := range servers {
+		if held[s.Zone] == nil {
+			held[s.Zone] = make([]bool, e.Layers)
+		}
+		if failing[s.ID] {
+			continue
+		}
+		for l := max(0, s.Holds.From); l < min(e.Layers, s.Holds.To); l++ {
+			held[s.Zone][l] = true
+		}
+	}
+	return held
+}
+
+func lacks(held []bool, layers savoryworld.LayerRange) bool {
+	for l := layers.From; l < layers.To && l < len(held); l++ {
+		if !held[l] {
+			return true
+		}
+	}
+	return false
+}
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -1,14 +1,17 @@
 // Package savoryplacement decides which engine holds which layers of a model.
 //
 // Layers are divided into units of equal size that fit the smallest kind of
-// accelerator, and each engine holds a run of units. Engines of one
-// availability zone form a group that covers all layers, so that chains stay
-// inside the zone, where no shared link limits them; zones that are too small
-// for that share a group.
+// accelerator, and each engine holds a run of units. Small units leave more
+// memory for requests on small accelerators, large ones make short chains; the
+// first plan tries several sizes. Engines of one availability zone form a group
+// that covers all layers, so that chains stay inside the zone, where no shared
+// link limits them; zones that are too small for that share a group.
 //
-// Within a group a local search weighs the memory for requests of each unit,
-// and what is left of it when the unit's best engine is lost. A plan in force
-// is changed only where that gains clearly more than the load costs.
+// Within a group a local search weighs the rate of requests that the group can
+// carry: the memory for requests of its weakest units, divided by the time that
+// a request holds it. Besides, it weighs what is left of each unit's memory when
+// its best engine is lost. A plan in force is changed only where that gains
+// clearly more than the load costs.
 //
 // The package decides only: it does no I/O and reads no clock.
 package savoryplacement
@@ -27,20 +30,30 @@
 	// unitPart is the part of the smallest accelerator's layers that one unit
 	// may take; the rest is memory for requests.
 	unitPart = 0.85
+	// mostUnits is the largest number of units that a first plan tries: each may
+	// be a hop of a chain, and engines accept 32.
+	mostUnits = 20
+	// roomSteps is the number of sizes of request memory that a first plan tries,
+	// each half of the one before.
+	roomSteps = 6
 	// groupFill is the largest part of a group's layers that one copy of the
 	// model may take; beyond it too little memory is left for requests.
 	groupFill = 0.85
 	// lossWeight is the weight of a unit's memory after the loss of its best
-	// engine, beside 1 for its memory now.
-	lossWeight = 0.5
-	// leastRoom is the part of the mean memory per unit that is added to each,
-	// which bounds the worth of a first replica.
+	// engine, beside 1 for the rate that the group carries now.
+	lossWeight = 0.3
+	// leastRoom and noRoom are the parts of the group's memory in tokens that are
+	// added after a loss and now; they bound the worth of a first replica.
 	leastRoom = 0.02
-	// speedWeight is the weight of the time of a pass over the fastest engines,
-	// in multiples of the fastest kind.
-	speedWeight = 0.3
-	// moveCost is the least gain for which an engine that serves is moved.
-	moveCost = 2.0
+	noRoom    = 0.001
+	// moveCost is the least gain, as a logarithm of the rate, for which an engine
+	// that serves is moved. coverCost is that while other moves are under way: it
+	// is only reached by units without any engine.
+	moveCost  = 0.2
+	coverCost = 2.0
+	// coverWorth is taken off for each unit without any engine: without it the
+	// group carries nothing.
+	coverWorth = 4.0
 	// maxMoves bounds the moves of one replan, so that a group is not emptied.
 	maxMoves = 3
 	// maxSearch bounds the steps of the search for a first plan.
@@ -56,8 +69,16 @@
 	Holds savoryworld.LayerRange
 }
 
-// Plan maps the ID of an engine to the layers that it is to hold.
-type Plan map[string]savoryworld.LayerRange
+// Plan says which layers each engine is to hold.
+type Plan struct {
+	// Unit is the number of layers of a unit.
+	Unit int
+	// Layers maps the ID of an engine to its layers.
+	Layers map[string]savoryworld.LayerRange
+}
+
+// Equal reports whether two plans say the same.
+func (p Plan) Equal(q Plan) bool { return p.Unit == q.Unit && maps.Equal(p.Layers, q.Layers) }
 
 // planner holds the figures of one call.
 type planner struct {
@@ -84,52 +105,105 @@
 // New returns a plan for engines that hold nothing. Engines of an unknown kind
 // are left out.
 func New(e *savoryrouting.Engine, engines []Engine) Plan {
-	return replan(e, engines, nil, 0, maxSearch)
+	best, bestWorth := Plan{}, math.Inf(-1)
+	largest := largestUnit(e)
+	for unit := max(1, (e.Layers+mostUnits-1)/mostUnits); unit <= largest; unit++ {
+		p := newPlanner(e, unit)
+		plan, worth := Plan{Unit: unit, Layers: make(map[string]savoryworld.LayerRange)}, 0.0
+		for _, group := range p.groups(engines) {
+			runs := p.runs(group)
+			worth += p.begin(runs)
+			p.write(runs, plan)
+		}
+		if worth > bestWorth {
+			best, bestWorth = plan, worth
+		}
+	}
+	if best.Layers == nil {
+		return Plan{Layers: make(map[string]savoryworld.LayerRange)}
+	}
+	p := newPlanner(e, best.Unit)
+	return p.improve(best, engines, 0, maxSearch)
 }
 
 // Extend returns the plan after engines joined or were lost. Engines keep their
-// part unless a move gains clearly more than the load costs.
+// part unless a move gains clearly more than the load costs. While earlier moves
+// are under way only units without any engine are mended. An old plan without
+// units is taken from what the engines hold.
 func Extend(e *savoryrouting.Engine, old Plan, engines []Engine) Plan {
-	return replan(e, engines, old, moveCost, maxMoves)
+	if old.Unit == 0 {
+		old = held(engines)
+	}
+	if old.Unit == 0 {
+		return New(e, engines)
+	}
+	cost := moveCost
+	for _, engine := range engines {
+		if layers, ok := old.Layers[engine.ID]; ok && layers != engine.Holds {
+			cost = coverCost
+		}
+	}
+	return newPlanner(e, old.Unit).improve(old, engines, cost, maxMoves)
+}
+
+// held returns the plan that engines follow by what they hold.
+func held(engines []Engine) Plan {
+	plan := Plan{Layers: make(map[string]savoryworld.LayerRange)}
+	for _, e := range engines {
+		if !e.Holds.Empty() {
+			plan.Unit = gcd(gcd(plan.Unit, e.Holds.From), e.Holds.Count())
+			plan.Layers[e.ID] = e.Holds
+		}
+	}
+	return plan
 }
 
-func replan(e *savoryrouting.Engine, engines []Engine, old Plan, cost float64, moves int) Plan {
-	plan := make(Plan)
-	p := newPlanner(e, engines)
-	if p == nil {
-		return plan
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
 	}
+	return a
+}
+
+// improve returns the plan with its free engines placed and up to moves others
+// moved for a gain above cost.
+func (p *planner) improve(old Plan, engines []Engine, cost float64, moves int) Plan {
+	plan := Plan{Unit: old.Unit, Layers: make(map[string]savoryworld.LayerRange)}
 	for _, group := range p.groups(engines) {
 		runs := p.runs(group)
-		free := p.keep(runs, old)
-		p.settle(runs, free)
+		p.settle(runs, p.keep(runs, old))
 		p.search(runs, cost, moves)
-		for _, r := range runs {
-			if r.n > 0 {
-				plan[r.ID] = p.layers(r)
-			}
-		}
+		p.write(runs, plan)
 	}
 	return plan
 }
 
-func newPlanner(e *savoryrouting.Engine, engines []Engine) *planner {
+// write adds the runs to a plan.
+func (p *planner) write(runs []*run, plan Plan) {
+	for _, r := range runs {
+		if r.n > 0 {
+			plan.Layers[r.ID] = p.layers(r)
+		}
+	}
+}
+
+// largestUnit returns the most layers of a unit. All kinds of the service
+// count, present or not.
+func largestUnit(e *savoryrouting.Engine) int {
 	smallest := 0
 	for i := range e.Accelerators {
-		// All kinds of the service count, present or not: units must not change
-		// while engines come and go.
 		if n := e.MaxLayers(&e.Accelerators[i]); n > 0 && (smallest == 0 || n < smallest) {
 			smallest = n
 		}
 	}
-	if smallest == 0 || e.Layers == 0 || len(engines) == 0 {
-		return nil
+	if smallest == 0 || e.Layers == 0 {
+		return 0
 	}
-	unit := max(1, int(float64(smallest)*unitPart))
-	units := (e.Layers + unit - 1) / unit
-	// Even units leave no small one at the end.
-	unit = (e.Layers + units - 1) / units
-	return &planner{engine: e, unit: unit, units: (e.Layers + unit - 1) / unit}
+	return max(1, int(float64(smallest)*unitPart))
+}
+
+func newPlanner(e *savoryrouting.Engine, unit int) *planner {
+	return &planner{engine: e, unit: unit, units: min(maxUnits, (e.Layers+unit-1)/unit)}
 }
 
 // groups divides the engines by availability zone; zones that cannot cover the
@@ -197,7 +271,7 @@
 func (p *planner) keep(runs []*run, old Plan) []*run {
 	var free []*run
 	for _, r := range runs {
-		layers, ok := old[r.ID]
+		layers, ok := old.Layers[r.ID]
 		if !ok {
 			layers = r.Holds
 		}
@@ -211,6 +285,52 @@
 	return free
 }
 
+// begin plans a group from nothing and returns the worth. It lays the fast
+// engines side by side, each with as many units as leave it a size of request
+// memory, and takes the best of several sizes.
+func (p *planner) begin(runs []*run) float64 {
+	type part struct{ at, n int }
+	best, bestWorth := make([]part, len(runs)), math.Inf(-1)
+	largest := 0.0
+	for _, r := range runs {
+		largest = max(largest, r.rooms[1])
+	}
+	for step := range roomSteps {
+		p.tile(runs, largest/float64(int(1)<<step))
+		if worth := p.worth(runs); worth > bestWorth {
+			bestWorth = worth
+			for j, r := range runs {
+				best[j] = part{r.at, r.n}
+			}
+		}
+	}
+	for j, r := range runs {
+		r.at, r.n = best[j].at, best[j].n
+	}
+	return bestWorth
+}
+
+// tile lays runs side by side until all units are held once, each with the most
+// units that leave it room for so many tokens, and gives the rest their best
+// units.
+func (p *planner) tile(runs []*run, room float64) {
+	next := 0
+	var rest []*run
+	for _, r := range runs {
+		r.at, r.n = 0, 0
+		if next == p.units {
+			rest = append(rest, r)
+			continue
+		}
+		r.at, r.n = next, 1
+		for r.n < min(r.most, p.units-next) && r.rooms[r.n+1] >= room {
+			r.n++
+		}
+		next += r.n
+	}
+	p.settle(runs, rest)
+}
+
 // settle gives the free engines their best units, one after the other.
 func (p *planner) settle(runs, free []*run) {
 	for _, r := range free {
@@ -259,43 +379,46 @@
 	}
 }
 
-// worth is higher the more memory for requests each unit has, now and without
-// its best engine, and the faster its engines are. The weakest units count most.
+// worth is the logarithm of the rate of requests that a group carries, to a
+// scale, with the part for the loss of engines.
 func (p *planner) worth(runs []*run) float64 {
-	total := make([]float64, p.units)
-	largest := make([]float64, p.units)
-	fastest := make([]float64, p.units)
-	mean := 0.0
+	var total, largest, slowness [maxUnits]float64
+	scale := 0.0
 	for _, r := range runs {
-		// The scale does not depend on the runs.
-		mean += r.rooms[1]
+		// The scale depends neither on the runs nor on the unit.
+		scale += r.kind.MemoryMB
 		for u := r.at; u < r.at+r.n; u++ {
 			room := r.rooms[r.n]
 			total[u] += room
 			largest[u] = max(largest[u], room)
-			if fastest[u] == 0 || r.kind.StepFactor < fastest[u] {
-				fastest[u] = r.kind.StepFactor
-			}
+			slowness[u] += room * r.kind.StepFactor
 		}
 	}
-	mean /= float64(p.units)
-	if mean == 0 {
-		mean = 1
-	}
-	worth := 0.0
+	scale = max(1, scale*1e6/float64(max(1, p.engine.TokenBytes)))
+	weakest, pass, loss, uncovered := 0.0, 0.0, 0.0, 0
 	for u := range p.units {
-		worth -= 1 / (total[u]/mean + leastRoom)
-		worth -= lossWeight / ((total[u]-largest[u])/mean + leastRoom)
-		worth -= speedWeight * fastest[u] / p.fastestKind()
+		room := total[u]/scale + noRoom
+		weakest += 1 / (room * room) / float64(p.units)
+		if total[u] == 0 {
+			uncovered++
+			pass += p.slowest()
+		} else {
+			// Requests spread over the engines by their memory.
+			pass += slowness[u] / total[u]
+		}
+		loss += math.Log((total[u]-largest[u])/scale + leastRoom)
 	}
-	return worth
+	return -math.Log(weakest)/2 - math.Log(max(pass/float64(p.units), 1e-9)) + lossWeight*loss/float64(p.units) - coverWorth*float64(uncovered)
 }
 
-// fastestKind returns the least step factor of the service.
-func (p *planner) fastestKind() float64 {
-	least := math.Inf(1)
+// slowest returns the largest step factor of the service.
+func (p *planner) slowest() float64 {
+	most := 0.0
 	for _, a := range p.engine.Accelerators {
-		least = min(least, a.StepFactor)
+		most = max(most, a.StepFactor)
 	}
-	return max(least, 1e-3)
+	return most
 }
+
+// maxUnits bounds the units of a model.
+const maxUnits = 256
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -128,8 +128,9 @@
 type Engines struct {
 	Report func(ctx context.Context, address netip.AddrPort) (Report, error)
 	// Place orders an engine to hold layers, if it has accepted the expected
-	// number of orders so far.
-	Place func(ctx context.Context, address netip.AddrPort, server string, layers savoryworld.LayerRange, expected int64) (OrderResult, error)
+	// number of orders so far. An urgent order does not wait for what runs on
+	// layers that are given up.
+	Place func(ctx context.Context, address netip.AddrPort, server string, layers savoryworld.LayerRange, expected int64, urgent bool) (OrderResult, error)
 	// Repath moves a running request to another path with the same first
 	// engine.
 	Repath func(ctx context.Context, address netip.AddrPort, server, request string, path savorypath.Path) (OrderResult, error)
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -15,7 +15,6 @@
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savorywire"
-	"savorycart.example/savorycore/savoryworld"
 )
 
 const (
@@ -47,13 +46,10 @@
 
 type serviceOrders struct {
 	savoryplacement.Orderer
-	// revision is that of the plan in the store.
+	// revision is that of the plan in the store, dirty that it differs from the
+	// plan in force.
 	revision int64
-}
-
-// StoredPlan is a plan as it is kept in the store.
-type StoredPlan struct {
-	Layers map[string]savoryworld.LayerRange
+	dirty    bool
 }
 
 // runOrders competes for the orderer's lease and gives orders while it holds.
@@ -97,11 +93,21 @@
 			o.extend(lease, now)
 			return true
 		}
-		o.renewAt = now.Add(ordersEvery)
-		if savorystore.LeaseGone(err) || !now.Before(o.until) {
+		o.renewAt = now.Add(ordererTime / tenureParts)
+		switch {
+		case savorystore.LeaseGone(err):
+			g.loseTenure(o, err)
+			return false
+		case now.Before(o.until):
+			return true
+		case g.relay.storeHeard(now):
+			// Another entry reaches the store and may take the lease.
 			g.loseTenure(o, err)
+			return false
 		}
-		return now.Before(o.until)
+		// The store is away for all: nobody can succeed, and engines still fail.
+		o.until = o.renewAt
+		return true
 	}
 	if g.relay.ordererHeard(now) || g.relay.rank(now) > 0 || now.Before(o.renewAt) {
 		return false
@@ -163,7 +169,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	err := g.Store.Revoke(ctx, o.lease.ID)
+	err := g.Store.Revoke(ctx, o.lease.ID) //nolint:contextcheck // the gate's own context may have ended
 	g.storeAnswered("revoke", err)
 	g.loseTenure(o, err)
 }
@@ -189,12 +195,15 @@
 		}
 	}
 	if so.Replan(s.Engine, engines, now) {
-		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "placed": len(so.Plan()), "failing": len(failing)}).Info("plan changed")
+		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "unit": so.Plan().Unit, "placed": len(so.Plan().Layers), "failing": len(failing)}).Info("plan changed")
+		so.dirty = true
+	}
+	if so.dirty && g.storeWorks() {
 		if err := g.keepPlan(s.Name, so); err != nil {
 			g.Log.WithError(err).Warn("plan not kept")
 		}
 	}
-	for _, order := range so.Orders(s.Engine, servers, now) {
+	for _, order := range so.Orders(s.Engine, servers, failing, now) {
 		go g.give(s, order, anyServes(servers))
 	}
 }
@@ -218,22 +227,22 @@
 	}
 	so := &serviceOrders{revision: v.Revision}
 	if !v.Found() {
-		so.Resume(nil)
+		so.Resume(savoryplacement.Plan{})
 		return so, nil
 	}
-	var stored StoredPlan
-	if err := savorywire.Decode(v.Body, &stored); err != nil {
+	var plan savoryplacement.Plan
+	if err := savorywire.Decode(v.Body, &plan); err != nil {
 		g.Log.WithError(err).WithField("key", v.Key).Error("plan cannot be read; it is made anew from what engines hold")
-		so.Resume(nil)
+		so.Resume(savoryplacement.Plan{})
 		return so, nil
 	}
-	so.Resume(stored.Layers)
+	so.Resume(plan)
 	return so, nil
 }
 
 // keepPlan writes the plan, unless another orderer has written one since.
 func (g *Gate) keepPlan(service string, so *serviceOrders) error {
-	body, err := savorywire.Encode(StoredPlan{Layers: so.Plan()})
+	body, err := savorywire.Encode(so.Plan())
 	if err != nil {
 		return err
 	}
@@ -248,7 +257,7 @@
 		so.revision = result.Current.Revision
 		return fmt.Errorf("another plan stands at revision %d", result.Current.Revision)
 	}
-	so.revision = result.Revision
+	so.revision, so.dirty = result.Revision, false
 	return nil
 }
 
@@ -264,10 +273,10 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, report.Orders)
+	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, report.Orders, order.Urgent)
 	cancel()
 	entry := g.Log.WithFields(log.Fields{
-		"server": order.Server.ID, "layers": order.Layers.String(), "held": report.Holds.String(), "expected": report.Orders, "result": string(result),
+		"server": order.Server.ID, "layers": order.Layers.String(), "held": report.Holds.String(), "expected": report.Orders, "urgent": order.Urgent, "result": string(result),
 	})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -121,6 +121,18 @@
 	return false
 }
 
+// storeHeard reports whether a live peer reaches the store.
+func (r *relay) storeHeard(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		if p.storeWorks && now.Sub(p.heardAt) < peerFresh {
+			return true
+		}
+	}
+	return false
+}
+
 // targets returns the peers of this round.
 func (r *relay) targets(now time.Time, urgent bool) []netip.AddrPort {
 	r.mu.Lock()
