--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -40,8 +40,9 @@
 	// model may take; beyond it too little memory is left for requests.
 	groupFill = 0.85
 	// lossWeight is the weight of a unit's memory after the loss of its best
-	// engine, beside 1 for the rate that the group carries now.
-	lossWeight = 0.3
+	// engine, beside 1 for the rate that the group carries now: few losses pass without one,
+	// and memory beyond the load gains little.
+	lossWeight = 1.2
 	// leastRoom and noRoom are the parts of the group's memory in tokens that are
 	// added after a loss and now; they bound the worth of a first replica.
 	leastRoom = 0.02
