--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -57,6 +57,13 @@
 // Plan returns the plan in force.
 func (o *Orderer) Plan() Plan { return o.plan }
 
+// Moving reports whether an engine was ordered a moment ago. What still runs on
+// layers that it gives up stalls, so it seems to fail.
+func (o *Orderer) Moving(s savoryroster.Server, now time.Time) bool {
+	p, ok := o.pending[s.ID]
+	return ok && p.born.Equal(s.Born) && now.Sub(p.at) < orderPause
+}
+
 // Replan brings the plan up to date with the usable engines and reports whether
 // it changed. An engine that fails is not usable; its part is given to another
 // only if no replica is left.
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -33,6 +33,9 @@
 	// mostUnits is the largest number of units that a first plan tries: each may
 	// be a hop of a chain, and engines accept 32.
 	mostUnits = 20
+	// leastRequests is the least number of usual requests for which an engine
+	// keeps memory; with less it would refuse nearly all of them.
+	leastRequests = 24
 	// roomSteps is the number of sizes of request memory that a first plan tries,
 	// each half of the one before.
 	roomSteps = 6
@@ -50,7 +53,7 @@
 	// moveCost is the least gain, as a logarithm of the rate, for which an engine
 	// that serves is moved. coverCost is that while other moves are under way: it
 	// is only reached by units without any engine.
-	moveCost  = 0.2
+	moveCost  = 0.1
 	coverCost = 2.0
 	// coverWorth is taken off for each unit without any engine: without it the
 	// group carries nothing.
@@ -252,6 +255,10 @@
 		for n := 1; n <= r.most; n++ {
 			r.rooms[n] = p.engine.Room(r.kind, n*p.unit) / float64(n*p.unit)
 		}
+		least := float64(leastRequests * (p.engine.UsualPrompt + p.engine.UsualAnswer))
+		for r.most > 1 && r.rooms[r.most] < least {
+			r.most--
+		}
 		if r.most > 0 {
 			runs = append(runs, r)
 		}
--- a/savorycore/savoryplacement/plan_test.go
+++ b/savorycore/savoryplacement/plan_test.go
@@ -14,7 +14,7 @@
 // testEngine is a model of 80 layers on three kinds of accelerators.
 func testEngine() *savoryrouting.Engine {
 	return &savoryrouting.Engine{
-		Layers: 80, LayerMB: 1750, TokenBytes: 918000, LoadsAtOnce: 5,
+		Layers: 80, LayerMB: 1750, TokenBytes: 918000, LoadsAtOnce: 5, UsualPrompt: 774, UsualAnswer: 203,
 		Accelerators: []savoryrouting.Accelerator{
 			{Name: "large", MemoryMB: 72000, StepFactor: 2.4, ReadFactor: 3.2},
 			{Name: "middle", MemoryMB: 43200, StepFactor: 5.6, ReadFactor: 2.7},
@@ -134,3 +134,30 @@
 	}
 	is.Equal(Extend(e, Plan{}, engines).Layers, plan.Layers)
 }
+
+// Pattern: an engine lost with three units of which it was the only holder, and
+// small doubles in the zone. The doubles take one unit each; no engine is filled
+// with layers until it has no memory for requests.
+func TestLostRunIsSharedByDoubles(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	engines := zoneOf("a", 2, 2, 5)
+	plan := New(e, engines)
+	left := make([]Engine, 0, len(engines))
+	for _, engine := range engines {
+		if engine.ID != "a-large-1" {
+			engine.Holds = plan.Layers[engine.ID]
+			left = append(left, engine)
+		}
+	}
+	next := Extend(e, plan, left)
+	rooms := make([]float64, e.Layers)
+	for _, engine := range left {
+		layers := next.Layers[engine.ID]
+		for l := layers.From; l < layers.To; l++ {
+			rooms[l] += e.Room(e.Accelerator(engine.Accelerator), layers.Count()) / float64(layers.Count())
+		}
+	}
+	// 27 requests a second of a zone's callers for a second and a half.
+	is.True(slices.Min(rooms) >= 27*1.5*977)
+}
--- a/savorycore/savoryworld/layers.go
+++ b/savorycore/savoryworld/layers.go
@@ -19,6 +19,15 @@
 // Count returns the number of layers.
 func (r LayerRange) Count() int { return r.To - r.From }
 
+// Intersect returns the layers that both ranges hold.
+func (r LayerRange) Intersect(s LayerRange) LayerRange {
+	both := LayerRange{From: max(r.From, s.From), To: min(r.To, s.To)}
+	if both.Empty() {
+		return LayerRange{}
+	}
+	return both
+}
+
 // String returns the text form.
 func (r LayerRange) String() string {
 	if r.Empty() {
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -65,6 +65,8 @@
 	// answered is set once the head of the answer is written.
 	answered bool
 	firstAt  time.Time
+	// maxGap is the longest pause between two events of a stream.
+	maxGap time.Duration
 }
 
 // ServeHTTP serves one request of a caller.
@@ -247,7 +249,11 @@
 	}
 	c.g.metrics.requests.WithLabelValues(kind, outcome, code).Inc()
 	c.g.metrics.duration.WithLabelValues(kind).Observe(c.g.now().Sub(c.began).Seconds())
-	if e == nil && !c.sampled {
+	late := c.late()
+	if late {
+		c.g.metrics.late.WithLabelValues(kind).Inc()
+	}
+	if e == nil && !c.sampled && !late {
 		return
 	}
 	entry := c.log.WithFields(log.Fields{
@@ -257,7 +263,7 @@
 		entry = entry.WithFields(log.Fields{"route": c.route.Name, "version": c.table.Config.Version})
 	}
 	if !c.firstAt.IsZero() {
-		entry = entry.WithField("firstMs", c.firstAt.Sub(c.began).Milliseconds())
+		entry = entry.WithFields(log.Fields{"firstMs": c.firstAt.Sub(c.began).Milliseconds(), "maxGapMs": c.maxGap.Milliseconds(), "late": late})
 	}
 	if e != nil {
 		entry = entry.WithFields(log.Fields{"code": code, "cause": e.Error()})
@@ -265,6 +271,15 @@
 	entry.Info("request ended")
 }
 
+// late reports whether an answer missed its objectives.
+func (c *call) late() bool {
+	if c.route == nil || c.firstAt.IsZero() {
+		return false
+	}
+	return c.route.Objective > 0 && c.firstAt.Sub(c.began) > c.route.Objective ||
+		c.route.GapObjective > 0 && c.maxGap > c.route.GapObjective
+}
+
 // decided logs a decision of a sampled request.
 func (c *call) decided(fields log.Fields, message string) {
 	if c.sampled {
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -183,6 +183,9 @@
 			"server": c.Server.ID, "change": c.What, "service": c.Server.Service, "zone": c.Server.Zone, "layers": c.Server.Holds.String(),
 			"beat": c.Server.Beat, "revision": l.Revision, "ageMs": now.Sub(readAt).Milliseconds(), "source": source,
 		}).Info("server changed")
+		if c.What == "leaving" || c.What == "gone" {
+			go g.moveAway(c.Server.ID)
+		}
 	}
 	g.metrics.listAge.Set(now.Sub(readAt).Seconds())
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -66,6 +66,7 @@
 	peers      *savorypeer.Client
 	servers    *savoryconn.Client
 	reports    reports
+	streams    streams
 	metrics    *metrics
 	stopping   atomic.Bool
 	ordering   atomic.Bool
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -17,6 +17,7 @@
 	duration   *prometheus.HistogramVec
 	first      *prometheus.HistogramVec
 	gap        prometheus.Histogram
+	late       *prometheus.CounterVec
 	inFlight   prometheus.Gauge
 	retries    *prometheus.CounterVec
 	storeCalls *prometheus.CounterVec
@@ -42,6 +43,7 @@
 		gap: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsPrefix, Name: "gap_seconds", Help: "Pause before an event of a stream.", Buckets: times,
 		}),
+		late:       counters("late_total", "Answers that missed an objective, by kind of route.", "kind"),
 		inFlight:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "requests_in_flight", Help: "Requests in flight."}),
 		retries:    counters("retries_total", "Requests sent again, by what is known of the failed one.", "verdict"),
 		storeCalls: counters("store_calls_total", "Calls of the platform's store by operation and result.", "operation", "result"),
@@ -56,7 +58,7 @@
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.first, m.gap, m.inFlight, m.retries, m.storeCalls, m.orders,
+	m.registry.MustRegister(m.requests, m.duration, m.first, m.gap, m.late, m.inFlight, m.retries, m.storeCalls, m.orders,
 		m.dials, m.version, m.listAge, m.servers, m.logDropped, collectors.NewGoCollector())
 	return m
 }
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -186,6 +186,11 @@
 	}
 	now := g.now()
 	servers, failing := g.view.servers(s.Name, now)
+	for _, server := range servers {
+		if so.Moving(server, now) {
+			delete(failing, server.ID)
+		}
+	}
 	var engines []savoryplacement.Engine
 	for _, server := range servers {
 		if !failing[server.ID] {
@@ -283,6 +288,12 @@
 		result = "NoAnswer"
 	}
 	entry.Info("order given")
+	if result == OrderBegun {
+		// Until it is done the engine serves only what it keeps.
+		report.Holds, report.Busy = report.Holds.Intersect(order.Layers), true
+		g.view.holds(order.Server.ID, report, g.config(), g.now())
+		g.wakeRelay()
+	}
 	g.metrics.orders.WithLabelValues("Place", string(result)).Inc()
 	if !serving {
 		return
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -15,15 +15,20 @@
 )
 
 const (
-	// firstLook is the time without an event after which the first engine is
-	// asked whom the stream waits for; it leaves time to go on within the
-	// caller's patience.
-	firstLook = 300 * time.Millisecond
+	// lookPasses is the number of estimated passes without an event after which
+	// the first engine is asked whom the stream waits for, within lookLeast and
+	// lookMost: a pause beyond the objective makes the stream late.
+	lookPasses = 5
+	lookLeast  = 120 * time.Millisecond
+	lookMost   = 300 * time.Millisecond
+	// firstEventLooks stretches that time before the first event, which waits
+	// for the prompt to be read.
+	firstEventLooks = 2
 	// nextLook is the time between further looks.
-	nextLook = 250 * time.Millisecond
-	// looks is the number of looks after which a chain is given up even if no
-	// engine is named.
-	looks = 5
+	nextLook = 120 * time.Millisecond
+	// giveUp is the time without an event after which a chain is given up even
+	// if no engine is named; callers leave after about two seconds.
+	giveUp = 1300 * time.Millisecond
 	// lookTimeout bounds a report or a move of a stream.
 	lookTimeout = 250 * time.Millisecond
 )
@@ -36,14 +41,17 @@
 	mu     sync.Mutex
 	path   savorypath.Path
 	timer  *time.Timer
+	after  time.Duration
 	lastAt time.Time
-	looked int
+	events bool
 	ended  bool
 }
 
 func newStallWatch(a *attempt, ctx context.Context) *stallWatch {
 	w := &stallWatch{a: a, ctx: ctx, path: a.path, lastAt: a.g.now()}
-	w.timer = time.AfterFunc(firstLook, w.look)
+	w.after = min(lookMost, max(lookLeast, lookPasses*a.choice.Pass))
+	w.timer = time.AfterFunc(firstEventLooks*w.after, w.look)
+	a.g.streams.add(w)
 	return w
 }
 
@@ -51,15 +59,15 @@
 func (w *stallWatch) event(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastAt = now
-	w.looked = 0
+	w.lastAt, w.events = now, true
 }
 
 func (w *stallWatch) stop() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.ended = true
 	w.timer.Stop()
+	w.mu.Unlock()
+	w.a.g.streams.remove(w)
 }
 
 func (w *stallWatch) currentPath() savorypath.Path {
@@ -76,29 +84,33 @@
 		w.mu.Unlock()
 		return
 	}
-	if quiet := g.now().Sub(w.lastAt); quiet < firstLook {
-		w.timer.Reset(firstLook - quiet)
+	after := w.after
+	if !w.events {
+		after *= firstEventLooks
+	}
+	quiet := g.now().Sub(w.lastAt)
+	if quiet < after {
+		w.timer.Reset(after - quiet)
 		w.mu.Unlock()
 		return
 	}
-	w.looked++
-	n, path := w.looked, w.path
+	path := w.path
 	w.mu.Unlock()
-	moved := w.inspect(path, n)
+	moved := w.inspect(path, quiet)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.ended {
 		return
 	}
 	if moved {
-		w.lastAt, w.looked = g.now(), 0
+		w.lastAt = g.now()
 	}
 	w.timer.Reset(nextLook)
 }
 
 // inspect asks the first engine whom the stream waits for, and moves or ends
 // the attempt. It reports whether the stream was moved.
-func (w *stallWatch) inspect(path savorypath.Path, n int) bool {
+func (w *stallWatch) inspect(path savorypath.Path, quiet time.Duration) bool {
 	g, a := w.a.g, w.a
 	first := path[0]
 	report, err := g.report(w.ctx, first.Address)
@@ -113,7 +125,7 @@
 	}
 	address, ok := report.Stalled[a.caller.ID]
 	if !ok {
-		if n >= looks {
+		if quiet > giveUp {
 			a.log.WithField("path", path.String()).Info("stream stalled without a known cause")
 			a.cancel(errStalled)
 		}
@@ -167,6 +179,59 @@
 	return true
 }
 
+// streams knows the attempts that run, by the engines of their chains.
+type streams struct {
+	mu  sync.Mutex
+	all map[*stallWatch]struct{}
+}
+
+func (s *streams) add(w *stallWatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[*stallWatch]struct{})
+	}
+	s.all[w] = struct{}{}
+}
+
+func (s *streams) remove(w *stallWatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, w)
+}
+
+// using returns the attempts whose chain uses the server behind its first hop.
+func (s *streams) using(server string) []*stallWatch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*stallWatch
+	for w := range s.all {
+		if path := w.currentPath(); path.Uses(server) && path[0].Server != server {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// leavePart is how long streams may still end by themselves on an engine that
+// leaves, before they are moved: a part of the time that it goes on serving.
+const leavePart = 0.3
+
+// moveAway moves the streams of an engine that leaves.
+func (g *Gate) moveAway(server string) {
+	g.sleep(time.Duration(leavePart * float64(g.Settings().DrainTime)))
+	for _, w := range g.streams.using(server) {
+		if w.ctx.Err() != nil {
+			continue
+		}
+		if w.move(w.currentPath(), server) {
+			w.mu.Lock()
+			w.lastAt = g.now()
+			w.mu.Unlock()
+		}
+	}
+}
+
 // reports shares the reports of engines among the streams that ask at once.
 type reports struct {
 	mu    sync.Mutex
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -146,7 +147,7 @@
 	if s.mayHaveRun {
 		e = savoryverdict.Wrap(err)
 	}
-	e.Err = err
+	e.Err = fmt.Errorf("%w (%s)", err, s.g.view.gaps(s.service.Name, savorypath.Request{Tokens: s.tokens}, s.g.now()))
 	s.fail(e)
 }
 
@@ -355,6 +356,9 @@
 	if n > 0 {
 		now := a.g.now()
 		a.g.metrics.gap.Observe(now.Sub(a.lastAt).Seconds())
+		if a.count > 0 {
+			a.maxGap = max(a.maxGap, now.Sub(a.lastAt))
+		}
 		a.lastAt = now
 		a.count += n
 		a.watch.event(now)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -115,6 +115,14 @@
 	return choice, err
 }
 
+// gaps says why there is no path, for the log.
+func (v *view) gaps(service string, r savorypath.Request, now time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r.Avoid = func(id string) bool { return v.health.Avoided(id, now) }
+	return v.table(service).Gaps(r, now)
+}
+
 // endPath takes a request off the load of its chain.
 func (v *view) endPath(service string, p savorypath.Path, tokens int) {
 	v.mu.Lock()
