--- a/savorycore/savorypeer/news.go
+++ b/savorycore/savorypeer/news.go
@@ -26,6 +26,15 @@
 	ListAge      time.Duration
 }
 
+// Entry is an entry that the sender knows to live.
+type Entry struct {
+	Address netip.AddrPort
+	Zone    string
+	// Strength is the processor share of the entry's VM in cores: the strong
+	// ones relay for the others.
+	Strength float64
+}
+
 // Fault is a server that an engine or the sender itself found at fault.
 type Fault struct {
 	Server string
@@ -35,17 +44,17 @@
 // News is what one side of a Sync tells. The payloads are set only if the other
 // side is known to lack them.
 type News struct {
-	From netip.AddrPort
-	Zone string
+	From Entry
 	// Draining entries are about to end.
 	Draining bool `msgpack:",omitempty"`
 	// StoreWorks says that the sender reached the store lately, Orderer that it
 	// gives the orders to engines.
-	StoreWorks bool             `msgpack:",omitempty"`
-	Orderer    bool             `msgpack:",omitempty"`
-	Entries    []netip.AddrPort `msgpack:",omitempty"`
+	StoreWorks bool    `msgpack:",omitempty"`
+	Orderer    bool    `msgpack:",omitempty"`
+	Entries    []Entry `msgpack:",omitempty"`
 	Known      Known
-	// Loads is what the sender has in flight at engines.
+	// Loads is what the sender has in flight at engines. Those for which it
+	// relays are part of it, but for the receiver.
 	Loads   []savorypath.Load     `msgpack:",omitempty"`
 	Faults  []Fault               `msgpack:",omitempty"`
 	Config  *savoryrouting.Config `msgpack:",omitempty"`
@@ -56,8 +65,13 @@
 
 // Check returns an error if the message is not well formed.
 func (n *News) Check() error {
-	if !n.From.IsValid() {
-		return errors.New("News.From: is not an IP address with a port")
+	if !n.From.Address.IsValid() {
+		return errors.New("News.From.Address: is not an IP address with a port")
+	}
+	for i, e := range n.Entries {
+		if !e.Address.IsValid() {
+			return fmt.Errorf("News.Entries[%d].Address: is not an IP address with a port", i)
+		}
 	}
 	if n.Known.ListAge < 0 {
 		return fmt.Errorf("News.Known.ListAge: %s is below 0", n.Known.ListAge)
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -55,12 +55,17 @@
 	Servers  []Server
 }
 
+// beatsPerPrint is the number of heartbeats after which a listing counts as
+// changed for them alone: a server that was found silent is used again once a
+// later heartbeat is known.
+const beatsPerPrint = 3
+
 // Print returns a fingerprint of what the listing says, without its revision.
 func (l *Listing) Print() uint64 {
 	d := xxhash.New()
 	for _, s := range l.Servers {
 		_, _ = fmt.Fprintf(d, "%s|%s|%s|%s|%t|%d|%d|%s|%t|%d;", s.ID, s.Service, s.Address, s.Zone,
-			s.Leaving, s.Born.UnixMilli(), s.Holds.From*1000+s.Holds.To, s.Accelerator, s.Busy, s.Beat)
+			s.Leaving, s.Born.UnixMilli(), s.Holds.From*1000+s.Holds.To, s.Accelerator, s.Busy, s.Beat/beatsPerPrint)
 	}
 	return d.Sum64()
 }
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -131,7 +131,7 @@
 	if !g.view.listed() {
 		return time.Hour
 	}
-	_, age := g.view.listing(g.now())
+	_, _, age := g.view.listing(g.now())
 	return age
 }
 
@@ -155,8 +155,9 @@
 		}
 		l.Servers = append(l.Servers, s)
 	}
-	g.takeList(l, readAt, "store")
-	g.wakeRelay()
+	if g.takeList(l, readAt, "store") {
+		g.wakeRelay()
+	}
 	return nil
 }
 
@@ -175,10 +176,12 @@
 // maxBadEntries bounds the unreadable entries that are remembered.
 const maxBadEntries = 256
 
-// takeList takes a list that was read at readAt.
-func (g *Gate) takeList(l *savoryroster.Listing, readAt time.Time, source string) {
+// takeList takes a list that was read at readAt, and reports whether it changed
+// what is believed of any server.
+func (g *Gate) takeList(l *savoryroster.Listing, readAt time.Time, source string) bool {
 	now := g.now()
-	for _, c := range g.view.list(l, readAt, now, g.config()) {
+	changes := g.view.list(l, readAt, now, g.config())
+	for _, c := range changes {
 		g.Log.WithFields(log.Fields{
 			"server": c.Server.ID, "change": c.What, "service": c.Server.Service, "zone": c.Server.Zone, "layers": c.Server.Holds.String(),
 			"beat": c.Server.Beat, "revision": l.Revision, "ageMs": now.Sub(readAt).Milliseconds(), "source": source,
@@ -188,6 +191,7 @@
 		}
 	}
 	g.metrics.listAge.Set(now.Sub(readAt).Seconds())
+	return len(changes) > 0
 }
 
 // storeAnswered notes the result of a store call.
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -114,10 +114,13 @@
 	g.view.zone = s.Zone
 	g.view.paths = nil
 	g.relay = relay{
-		self: s.Peers, peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
+		self:  savorypeer.Entry{Address: s.Peers, Zone: s.Zone, Strength: s.Strength},
+		peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
 		draining: g.stopping.Load, storeWorks: g.storeWorks,
 	}
-	g.relay.learn(s.Seeds, g.now())
+	for _, seed := range s.Seeds {
+		g.relay.learn([]savorypeer.Entry{{Address: seed}}, g.now())
+	}
 	g.peers = &savorypeer.Client{Timeout: syncTimeout}
 	g.servers = &savoryconn.Client{DialTimeout: dialTimeout, Dialed: g.metrics.dials.Inc}
 	g.budgets = make(map[string]*savorylimit.RetryBudget)
@@ -321,13 +324,20 @@
 	return b != nil && b.Retry(g.now())
 }
 
+// registered is the number of entries that keep their address in the store.
+const registered = 4
+
 // register keeps this entry's address in the store, where entries that know no
-// peer find it.
+// peer find it, if it is one of the first.
 func (g *Gate) register() error {
 	var lease savorystore.Lease
 	for g.alive() {
 		if len(g.relay.entries(g.now())) == 0 {
 			g.findPeers()
+		} else if g.relay.rank(g.now()) >= registered {
+			// Enough others can be found.
+			g.sleep(registerTime / 6)
+			continue
 		}
 		var err error
 		if lease.ID == 0 {
@@ -373,7 +383,7 @@
 		if err != nil {
 			return savorystore.Lease{}, err
 		}
-		result, err := g.Store.Swap(ctx, savorystore.Swap{Key: key, Old: old.Revision, Body: []byte(s.Zone), Lease: lease.ID})
+		result, err := g.Store.Swap(ctx, savorystore.Swap{Key: key, Old: old.Revision, Body: []byte(entryText(g.relay.self)), Lease: lease.ID})
 		g.storeAnswered("swap", err)
 		if err != nil {
 			return savorystore.Lease{}, err
@@ -394,14 +404,14 @@
 	if err != nil {
 		return
 	}
-	var found []netip.AddrPort
+	var found []savorypeer.Entry
 	for _, v := range values {
-		address, err := netip.ParseAddrPort(v.Key[len(entryPrefix):])
+		entry, err := parseEntry(v.Key[len(entryPrefix):], string(v.Body))
 		if err != nil {
 			g.Log.WithError(err).WithField("key", v.Key).Warn("registered entry cannot be read")
 			continue
 		}
-		found = append(found, address)
+		found = append(found, entry)
 	}
 	g.relay.learn(found, g.now())
 }
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -1,18 +1,25 @@
 package savorygate
 
-// This file exchanges news with the other entries.
+// This file exchanges news with the other entries. A small fleet exchanges all
+// with all. In a large one each availability zone has a head, which exchanges
+// with the other heads and with the entries of its zone, so that the calls of an
+// entry do not grow with the fleet. An entry takes for its head the first of its
+// zone, by strength, that answers; views may differ and two heads do no harm.
 
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
+	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
 )
 
@@ -28,9 +35,10 @@
 	peerForgotten = 30 * time.Second
 	// missedEvery is the interval of attempts to reach a silent peer.
 	missedEvery = 2 * time.Second
-	// fullMesh is the most peers with which each round exchanges news; of more,
-	// a round takes so many at random.
-	fullMesh = 12
+	// silentTries is the most silent peers that one round tries.
+	silentTries = 3
+	// fullMesh is the most peers of a fleet that exchanges all with all.
+	fullMesh = 9
 	// readers is the number of entries that read configuration and list from the
 	// store for all.
 	readers = 1
@@ -39,7 +47,7 @@
 // relay knows the other entries.
 type relay struct {
 	mu    sync.Mutex
-	self  netip.AddrPort
+	self  savorypeer.Entry
 	peers map[netip.AddrPort]*relayPeer
 	wake  chan struct{}
 	// draining and storeWorks are what this entry tells of itself.
@@ -48,61 +56,106 @@
 }
 
 type relayPeer struct {
+	entry savorypeer.Entry
+	// heardAt is when the peer itself was heard, toldAt when another peer named
+	// it as live.
 	heardAt    time.Time
+	toldAt     time.Time
 	triedAt    time.Time
 	addedAt    time.Time
 	draining   bool
 	storeWorks bool
 	orderer    bool
 	known      savorypeer.Known
+	loads      []savorypath.Load
 	calling    bool
 }
 
-func (r *relay) add(address netip.AddrPort, now time.Time) *relayPeer {
-	if address == r.self || !address.IsValid() {
+func (p *relayPeer) fresh(now time.Time) bool { return now.Sub(p.heardAt) < peerFresh }
+
+// add returns the peer at the entry's address, nil for this entry itself.
+func (r *relay) add(e savorypeer.Entry, now time.Time) *relayPeer {
+	if e.Address == r.self.Address || !e.Address.IsValid() {
 		return nil
 	}
-	p := r.peers[address]
+	p := r.peers[e.Address]
 	if p == nil {
-		p = &relayPeer{addedAt: now}
-		r.peers[address] = p
+		p = &relayPeer{entry: e, addedAt: now}
+		r.peers[e.Address] = p
+	}
+	if e.Zone != "" {
+		p.entry = e
 	}
 	return p
 }
 
-// learn takes addresses of entries.
-func (r *relay) learn(addresses []netip.AddrPort, now time.Time) {
+// learn takes entries that may be stale.
+func (r *relay) learn(entries []savorypeer.Entry, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, address := range addresses {
-		r.add(address, now)
+	for _, e := range entries {
+		r.add(e, now)
+	}
+}
+
+// large reports whether the fleet is too large to exchange all with all.
+func (r *relay) large() bool { return len(r.peers) >= fullMesh }
+
+// before orders entries by strength, then by address.
+func before(a, b savorypeer.Entry) bool {
+	return cmp.Or(cmp.Compare(b.Strength, a.Strength), a.Address.Compare(b.Address)) < 0
+}
+
+// head reports whether this entry relays for its zone: no live entry of the zone
+// comes before it.
+func (r *relay) head(now time.Time) bool {
+	for _, p := range r.peers {
+		if p.entry.Zone == r.self.Zone && p.fresh(now) && !p.draining && before(p.entry, r.self) {
+			return false
+		}
 	}
+	return !r.draining()
 }
 
 // rank returns this entry's place among the live entries that reach the store;
-// the first ones read it. An entry without the store ranks last.
+// the first ones read it. Of a large fleet only heads take part. An entry
+// without the store ranks last.
 func (r *relay) rank(now time.Time) int {
+	const last = 1 << 20
 	if !r.storeWorks() || r.draining() {
-		return 1 << 20
+		return last
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.large() && !r.head(now) {
+		return last
+	}
 	n := 0
-	for address, p := range r.peers {
-		if p.storeWorks && !p.draining && now.Sub(p.heardAt) < peerFresh && address.Compare(r.self) < 0 {
+	for _, p := range r.peers {
+		if p.storeWorks && !p.draining && p.fresh(now) && before(p.entry, r.self) && (!r.large() || r.headOf(p, now)) {
 			n++
 		}
 	}
 	return n
 }
 
+// headOf reports whether a peer is the first live one of its zone.
+func (r *relay) headOf(p *relayPeer, now time.Time) bool {
+	for _, q := range r.peers {
+		if q != p && q.entry.Zone == p.entry.Zone && q.fresh(now) && !q.draining && before(q.entry, p.entry) {
+			return false
+		}
+	}
+	return p.entry.Zone != r.self.Zone || before(p.entry, r.self)
+}
+
 // live returns the number of live entries with this one.
 func (r *relay) live(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 1
 	for _, p := range r.peers {
-		if now.Sub(p.heardAt) < peerFresh {
+		if p.fresh(now) || now.Sub(p.toldAt) < 2*peerFresh {
 			n++
 		}
 	}
@@ -111,53 +164,100 @@
 
 // ordererHeard reports whether a live peer gives the orders.
 func (r *relay) ordererHeard(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range r.peers {
-		if p.orderer && now.Sub(p.heardAt) < peerFresh {
-			return true
-		}
-	}
-	return false
+	return r.any(now, func(p *relayPeer) bool { return p.orderer })
 }
 
 // storeHeard reports whether a live peer reaches the store.
 func (r *relay) storeHeard(now time.Time) bool {
+	return r.any(now, func(p *relayPeer) bool { return p.storeWorks })
+}
+
+func (r *relay) any(now time.Time, is func(*relayPeer) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, p := range r.peers {
-		if p.storeWorks && now.Sub(p.heardAt) < peerFresh {
+		if p.fresh(now) && is(p) {
 			return true
 		}
 	}
 	return false
 }
 
-// targets returns the peers of this round.
+// targets returns the peers to call in this round. An urgent round of a head
+// calls all of its zone.
 func (r *relay) targets(now time.Time, urgent bool) []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var live, silent []netip.AddrPort
 	for address, p := range r.peers {
-		switch {
-		case now.Sub(p.heardAt) > peerForgotten && now.Sub(p.addedAt) > peerForgotten:
+		if now.Sub(p.heardAt) > peerForgotten && now.Sub(p.addedAt) > peerForgotten && now.Sub(p.toldAt) > peerForgotten {
 			delete(r.peers, address)
-		case p.calling && !urgent:
-		case now.Sub(p.heardAt) < peerFresh:
-			live = append(live, address)
-		case now.Sub(p.triedAt) > missedEvery || now.Sub(p.addedAt) < peerFresh:
-			silent = append(silent, address)
 		}
 	}
-	slices.SortFunc(live, netip.AddrPort.Compare)
-	if len(live) > fullMesh && !urgent {
-		rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-		live = live[:fullMesh]
+	var chosen []*relayPeer
+	if !r.large() {
+		for _, p := range r.peers {
+			chosen = append(chosen, p)
+		}
+	} else {
+		chosen = r.heads(now)
+		if urgent && r.head(now) {
+			for _, p := range r.peers {
+				if p.entry.Zone == r.self.Zone && p.fresh(now) {
+					chosen = append(chosen, p)
+				}
+			}
+		}
+	}
+	return r.callable(chosen, now, urgent)
+}
+
+// heads returns whom this entry calls in a large fleet: its zone's head, and as a
+// head itself the first entries of the other zones. Entries that do not answer
+// are passed over, and tried again beside the next.
+func (r *relay) heads(now time.Time) []*relayPeer {
+	byZone := make(map[string][]*relayPeer)
+	for _, p := range r.peers {
+		byZone[p.entry.Zone] = append(byZone[p.entry.Zone], p)
 	}
-	for _, address := range silent {
-		r.peers[address].triedAt = now
+	head := r.head(now)
+	var chosen []*relayPeer
+	for zone, peers := range byZone {
+		own := zone == r.self.Zone
+		if !own && !head && zone != "" {
+			continue
+		}
+		slices.SortFunc(peers, func(a, b *relayPeer) int {
+			return cmp.Or(cmp.Compare(b.entry.Strength, a.entry.Strength), a.entry.Address.Compare(b.entry.Address))
+		})
+		for i, p := range peers {
+			if own && !before(p.entry, r.self) || i >= silentTries && !p.fresh(now) {
+				break
+			}
+			chosen = append(chosen, p)
+			if p.fresh(now) && zone != "" {
+				break
+			}
+		}
 	}
-	return append(live, silent...)
+	return chosen
+}
+
+// callable leaves out peers that are being called, and silent ones that were
+// tried a moment ago.
+func (r *relay) callable(chosen []*relayPeer, now time.Time, urgent bool) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, p := range chosen {
+		switch {
+		case p.calling && !urgent:
+			continue
+		case !p.fresh(now) && now.Sub(p.triedAt) < missedEvery && now.Sub(p.addedAt) > peerFresh:
+			continue
+		}
+		p.triedAt = now
+		addresses = append(addresses, p.entry.Address)
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return slices.Compact(addresses)
 }
 
 // begin marks a call to a peer and returns what it is known to have.
@@ -188,25 +288,61 @@
 	if p == nil {
 		return false
 	}
-	back = now.Sub(p.heardAt) > peerFresh
-	p.heardAt, p.draining, p.storeWorks, p.orderer, p.known = now, n.Draining, n.StoreWorks, n.Orderer, n.Known
-	for _, address := range n.Entries {
-		r.add(address, now)
+	back = !p.fresh(now)
+	p.heardAt, p.draining, p.storeWorks, p.orderer, p.known, p.loads = now, n.Draining, n.StoreWorks, n.Orderer, n.Known, n.Loads
+	for _, e := range n.Entries {
+		if q := r.add(e, now); q != nil {
+			q.toldAt = now
+		}
 	}
 	return back
 }
 
-// sent notes what a peer now has.
-func (r *relay) entries(now time.Time) []netip.AddrPort {
+// entries returns the peers that were heard.
+func (r *relay) entries(now time.Time) []savorypeer.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []netip.AddrPort
-	for address, p := range r.peers {
-		if now.Sub(p.heardAt) < peerFresh {
-			all = append(all, address)
+	var all []savorypeer.Entry
+	for _, p := range r.peers {
+		if p.fresh(now) {
+			all = append(all, p.entry)
+		}
+	}
+	slices.SortFunc(all, func(a, b savorypeer.Entry) int { return a.Address.Compare(b.Address) })
+	return all
+}
+
+// loadsFor returns what is in flight at engines by own and those for which this
+// entry relays, as the receiver is to count it: to an entry of the zone all but
+// its own, to another head what the zone has.
+func (r *relay) loadsFor(to savorypeer.Entry, own []savorypath.Load, now time.Time) []savorypath.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large() || !r.head(now) {
+		return own
+	}
+	sum := make(map[string]savorypath.Load)
+	add := func(loads []savorypath.Load) {
+		for _, l := range loads {
+			s := sum[l.Server]
+			s.Server, s.Requests, s.Memory = l.Server, s.Requests+l.Requests, s.Memory+l.Memory
+			sum[l.Server] = s
+		}
+	}
+	add(own)
+	for _, p := range r.peers {
+		if !p.fresh(now) || p.entry.Address == to.Address {
+			continue
+		}
+		if p.entry.Zone == r.self.Zone || to.Zone == r.self.Zone {
+			add(p.loads)
 		}
 	}
-	slices.SortFunc(all, func(a, b netip.AddrPort) int { return cmp.Or(a.Compare(b)) })
+	all := make([]savorypath.Load, 0, len(sum))
+	for _, l := range sum {
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b savorypath.Load) int { return strings.Compare(a.Server, b.Server) })
 	return all
 }
 
@@ -218,6 +354,16 @@
 	}
 }
 
+// relayOn hands on what a peer told, in a large fleet to the entries of the zone.
+func (g *Gate) relayOn() {
+	g.relay.mu.Lock()
+	on := g.relay.large() && g.relay.head(g.now())
+	g.relay.mu.Unlock()
+	if on {
+		g.wakeRelay()
+	}
+}
+
 // runRelay exchanges news in rounds.
 func (g *Gate) runRelay() error {
 	ticker := time.NewTicker(syncEvery)
@@ -244,8 +390,7 @@
 // syncWith exchanges news with one peer.
 func (g *Gate) syncWith(address netip.AddrPort, known savorypeer.Known) {
 	defer g.relay.end(address)
-	news := g.news(known)
-	answer, err := g.peers.Sync(g.ctx, address, news)
+	answer, err := g.peers.Sync(g.ctx, address, g.news(g.relay.entry(address), known))
 	if err != nil {
 		g.Log.WithError(err).WithField("peer", address.String()).Debug("peer did not answer")
 		return
@@ -253,22 +398,31 @@
 	g.takeNews(answer)
 }
 
+// entry returns what is known of the entry at an address.
+func (r *relay) entry(address netip.AddrPort) savorypeer.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[address]; p != nil {
+		return p.entry
+	}
+	return savorypeer.Entry{Address: address}
+}
+
 // answerSync answers a peer's news.
 func (g *Gate) answerSync(_ context.Context, n *savorypeer.News) (*savorypeer.News, error) {
 	g.takeNews(n)
-	return g.news(n.Known), nil
+	return g.news(n.From, n.Known), nil
 }
 
 // news returns what this entry tells an entry that has known.
-func (g *Gate) news(known savorypeer.Known) *savorypeer.News {
+func (g *Gate) news(to savorypeer.Entry, known savorypeer.Known) *savorypeer.News {
 	now := g.now()
-	listing, age := g.view.listing(now)
+	listing, print, age := g.view.listing(now)
 	cfg := g.config()
-	s := g.Settings()
 	n := &savorypeer.News{
-		From: s.Peers, Zone: s.Zone, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
-		Entries: g.relay.entries(now), Loads: g.view.ownLoads(),
-		Known: savorypeer.Known{ListRevision: listing.Revision, ListPrint: listing.Print(), ListAge: age},
+		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
+		Entries: g.relay.entries(now), Loads: g.relay.loadsFor(to, g.view.ownLoads(), now),
+		Known: savorypeer.Known{ListRevision: listing.Revision, ListPrint: print, ListAge: age},
 	}
 	if cfg != nil {
 		n.Known.Config = cfg.Version
@@ -276,7 +430,7 @@
 			n.Config = cfg
 		}
 	}
-	if listing.Revision >= known.ListRevision && n.Known.ListPrint != known.ListPrint {
+	if listing.Revision >= known.ListRevision && print != known.ListPrint {
 		n.Listing = listing
 	}
 	for id, age := range g.view.toldFaults(now) {
@@ -289,21 +443,45 @@
 func (g *Gate) takeNews(n *savorypeer.News) {
 	now := g.now()
 	if g.relay.heard(n, now) {
-		g.Log.WithFields(log.Fields{"peer": n.From.String(), "zone": n.Zone, "config": n.Known.Config}).Info("peer heard")
-	}
-	if n.Config != nil {
-		g.put(n.Config, "peer")
+		g.Log.WithFields(log.Fields{"peer": n.From.Address.String(), "zone": n.From.Zone, "config": n.Known.Config}).Info("peer heard")
 	}
+	on := n.Config != nil && g.put(n.Config, "peer")
 	switch {
 	case n.Listing != nil:
-		g.takeList(n.Listing, now.Add(-n.Known.ListAge), "peer")
+		on = g.takeList(n.Listing, now.Add(-n.Known.ListAge), "peer") || on
 	case n.Known.ListRevision > 0:
 		g.view.refreshed(n.Known.ListRevision, n.Known.ListPrint, now.Add(-n.Known.ListAge))
 	}
-	g.view.peerLoads(n.From, n.Loads, now)
+	g.view.peerLoads(n.From.Address, n.Loads, now)
 	for _, f := range n.Faults {
 		if g.view.peerFault(f.Server, now.Add(-f.Age)) {
-			g.Log.WithFields(log.Fields{"server": f.Server, "peer": n.From.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided on a peer's word")
+			on = true
+			g.Log.WithFields(log.Fields{"server": f.Server, "peer": n.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided on a peer's word")
 		}
 	}
+	if on {
+		g.relayOn()
+	}
+}
+
+// entryText is how an entry is registered in the store.
+func entryText(e savorypeer.Entry) string {
+	return e.Zone + " " + strconv.FormatFloat(e.Strength, 'f', 3, 64)
+}
+
+// parseEntry reads what entryText wrote.
+func parseEntry(address, text string) (savorypeer.Entry, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return savorypeer.Entry{}, err
+	}
+	zone, strength, ok := strings.Cut(text, " ")
+	if !ok {
+		return savorypeer.Entry{}, fmt.Errorf("entry %q has no strength", text)
+	}
+	e := savorypeer.Entry{Address: at, Zone: zone}
+	if e.Strength, err = strconv.ParseFloat(strength, 64); err != nil {
+		return savorypeer.Entry{}, fmt.Errorf("entry %q: %w", text, err)
+	}
+	return e, nil
 }
--- a/savoryentry/savorygate/settings.go
+++ b/savoryentry/savorygate/settings.go
@@ -15,6 +15,9 @@
 	Name   string
 	Zone   string
 	Region string
+	// Strength is the processor share of the VM in cores; the strong entries of a
+	// large fleet relay for the others.
+	Strength float64
 	// Front serves callers, Ready the balancer, Peers the other entries.
 	Front netip.AddrPort
 	Ready netip.AddrPort
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -26,9 +26,9 @@
 	firstEventLooks = 2
 	// nextLook is the time between further looks.
 	nextLook = 120 * time.Millisecond
-	// giveUp is the time without an event after which a chain is given up even
+	// unknownStall is the time without an event after which a chain is given up even
 	// if no engine is named; callers leave after about two seconds.
-	giveUp = 1300 * time.Millisecond
+	unknownStall = 1300 * time.Millisecond
 	// lookTimeout bounds a report or a move of a stream.
 	lookTimeout = 250 * time.Millisecond
 )
@@ -117,17 +117,20 @@
 	if w.ctx.Err() != nil {
 		return false
 	}
+	if w.resumed(quiet) {
+		return false
+	}
 	if err != nil {
 		until := g.view.failed(first.Server, true, g.now())
 		a.log.WithError(err).WithFields(log.Fields{"server": first.Server, "avoidedMs": until.Sub(g.now()).Milliseconds()}).Info("first engine is silent")
-		a.cancel(errStalled)
+		w.giveUp()
 		return false
 	}
 	address, ok := report.Stalled[a.caller.ID]
 	if !ok {
-		if quiet > giveUp {
+		if quiet > unknownStall {
 			a.log.WithField("path", path.String()).Info("stream stalled without a known cause")
-			a.cancel(errStalled)
+			w.giveUp()
 		}
 		return false
 	}
@@ -140,12 +143,28 @@
 		"server": culprit, "namedBy": first.Server, "avoidedMs": until.Sub(g.now()).Milliseconds(),
 	}).Info("engine stalls the stream")
 	if culprit == first.Server || !w.move(path, culprit) {
-		a.cancel(errStalled)
+		w.giveUp()
 		return false
 	}
 	return true
 }
 
+// resumed reports whether an event came while the stream was looked at: this
+// entry itself may have been slow.
+func (w *stallWatch) resumed(quiet time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.a.g.now().Sub(w.lastAt) < quiet
+}
+
+// giveUp ends the attempt if the stream can go on elsewhere. Otherwise it goes
+// on waiting: the engine may still answer, and nothing better is at hand.
+func (w *stallWatch) giveUp() {
+	if !w.resumed(lookLeast) && w.a.canGoOn() {
+		w.a.cancel(errStalled)
+	}
+}
+
 // move lets the stream go on over other engines; those that stay keep its
 // memory.
 func (w *stallWatch) move(path savorypath.Path, culprit string) bool {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -44,6 +45,9 @@
 	lastAt time.Time
 	count  int
 	header bool
+	// retry is a retry that was taken from the budget before the attempt was
+	// given up.
+	retry atomic.Bool
 }
 
 // errStalled ends an attempt that made no event for too long.
@@ -167,6 +171,9 @@
 	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
+	if s.retry.CompareAndSwap(true, false) {
+		return true
+	}
 	if !s.g.mayRetry(s.service.Name) {
 		s.log.WithField("reason", "retry budget used up").Info("not sent again")
 		return false
@@ -174,6 +181,25 @@
 	return true
 }
 
+// canGoOn reports whether another chain could take the stream now, and takes the
+// retry for it.
+func (a *attempt) canGoOn() bool {
+	if !a.route.Resumable || a.sends >= streamSends || a.g.now().After(a.deadline) {
+		return false
+	}
+	choice, err := a.chooseFrom(savorypath.Request{Tokens: a.tokens, Across: true, Avoid: func(id string) bool { return a.avoid[id] }}, a.g.now())
+	if err != nil {
+		return false
+	}
+	a.g.view.endPath(a.service.Name, choice.Path, a.tokens)
+	if !a.retry.Load() && !a.g.mayRetry(a.service.Name) {
+		a.log.WithField("reason", "retry budget used up").Info("stalled stream is left alone")
+		return false
+	}
+	a.retry.Store(true)
+	return true
+}
+
 // lastAttempt ends the request after its last failure.
 func (s *stream) lastAttempt(a *attempt) {
 	defer a.release()
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -34,6 +34,11 @@
 	faults map[string]time.Time
 	peers  map[netip.AddrPort][]savorypath.Load
 	slow   map[string]float64
+	// current is a copy of the list for peers, print its fingerprint; dirty says
+	// that the roster has changed since.
+	current *savoryroster.Listing
+	print   uint64
+	dirty   bool
 }
 
 // errNoServer says that no server of a service may get work.
@@ -44,6 +49,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changes := v.roster.Apply(l, readAt, now)
+	v.dirty = true
 	for _, c := range changes {
 		if c.What == "restarted" || c.What == "gone" {
 			v.health.Forget(c.Server.ID)
@@ -217,6 +223,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.roster.Holds(id, r.Born, r.Holds, r.Busy, now)
+	v.dirty = true
 	v.rebuild(cfg)
 }
 
@@ -230,6 +237,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.roster.Leave(id)
+	v.dirty = true
 	v.rebuild(cfg)
 }
 
@@ -293,11 +301,24 @@
 	return all, failing
 }
 
-// listing returns the current list with its age.
-func (v *view) listing(now time.Time) (*savoryroster.Listing, time.Duration) {
+// listing returns the current list with its fingerprint and age. The list is
+// not changed by its receiver.
+func (v *view) listing(now time.Time) (*savoryroster.Listing, uint64, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.roster.Listing(), max(0, now.Sub(v.roster.ReadAt()))
+	v.refreshListing()
+	return v.current, v.print, max(0, now.Sub(v.roster.ReadAt()))
+}
+
+// refreshListing brings the copy of the list that peers are handed up to date.
+func (v *view) refreshListing() {
+	if v.current == nil || v.dirty {
+		v.current, v.dirty = v.roster.Listing(), false
+		v.print = v.current.Print()
+	}
+	if v.current.Revision != v.roster.Revision() {
+		v.current = &savoryroster.Listing{Revision: v.roster.Revision(), Servers: v.current.Servers}
+	}
 }
 
 // listed reports whether a list was ever read.
@@ -318,7 +339,8 @@
 func (v *view) refreshed(revision int64, print uint64, readAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.roster.Listing().Print() == print {
+	v.refreshListing()
+	if v.print == print {
 		v.roster.Confirm(revision, readAt)
 	}
 }
