Let one entry read the store at the first start

Cause: 60 entries that start together each read configuration and list and registered: 386 store calls in the first second.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -31,6 +31,10 @@
 	// storePauseMost.
 	storePause     = 300 * time.Millisecond
 	storePauseMost = 1200 * time.Millisecond
+	// meetTime is the time in which entries that start together find each other,
+	// startWait that in which the first of them reads the store for all.
+	meetTime  = 400 * time.Millisecond
+	startWait = 1500 * time.Millisecond
 	// storeFresh is the age of the last answer up to which the store counts as
 	// working.
 	storeFresh = 2 * time.Second
@@ -81,8 +85,8 @@
 	for g.alive() {
 		now := g.now()
 		every := time.Duration(listPart * float64(g.Settings().DrainTime))
-		due := now.Sub(readAt) >= every && (g.relay.rank(now) < readers || g.listAge() > g.staleAge() || g.table.Load() == nil)
-		if !due {
+		needed := g.relay.rank(now) < readers || g.listAge() > g.staleAge() || g.table.Load() == nil
+		if now.Sub(readAt) < every || !needed || g.leavesToOthers(now) {
 			g.sleep(tick / 2)
 			continue
 		}
@@ -97,6 +101,13 @@
 	return nil
 }
 
+// leavesToOthers reports whether the whole system has just started and another
+// entry reads first: the others are told by it.
+func (g *Gate) leavesToOthers(now time.Time) bool {
+	return g.Settings().FirstStart && now.Sub(g.startedAt) < startWait &&
+		(now.Sub(g.startedAt) < meetTime || g.relay.place(now, func(*relayPeer) bool { return true }) > 0)
+}
+
 // readConfig reads the configuration.
 func (g *Gate) readConfig() error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -59,6 +59,7 @@
 	settings   atomic.Pointer[Settings]
 	tomb       tomb.Tomb
 	ctx        context.Context
+	startedAt  time.Time
 	table      atomic.Pointer[savoryrouting.Table]
 	configMu   sync.Mutex
 	view       view
@@ -110,6 +111,7 @@
 func (g *Gate) Run(ctx context.Context) error {
 	s := g.Settings()
 	g.ctx = g.tomb.Context(ctx) //nolint:contextcheck // the tomb ends it
+	g.startedAt = g.now()
 	g.metrics = newMetrics(g.LogDropped)
 	g.view.zone = s.Zone
 	g.view.paths = nil
@@ -331,6 +333,7 @@
 // peer find it, if it is one of the first.
 func (g *Gate) register() error {
 	var lease savorystore.Lease
+	g.sleep(startWait)
 	for g.alive() {
 		if len(g.relay.entries(g.now())) == 0 {
 			g.findPeers()
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -121,18 +121,25 @@
 // the first ones read it. Of a large fleet only heads take part. An entry
 // without the store ranks last.
 func (r *relay) rank(now time.Time) int {
-	const last = 1 << 20
 	if !r.storeWorks() || r.draining() {
-		return last
+		return lastRank
 	}
+	return r.place(now, func(p *relayPeer) bool { return p.storeWorks })
+}
+
+// lastRank is the rank of an entry that takes no part.
+const lastRank = 1 << 20
+
+// place returns this entry's place among the live entries that count.
+func (r *relay) place(now time.Time, counts func(*relayPeer) bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.large() && !r.head(now) {
-		return last
+		return lastRank
 	}
 	n := 0
 	for _, p := range r.peers {
-		if p.storeWorks && !p.draining && p.fresh(now) && before(p.entry, r.self) && (!r.large() || r.headOf(p, now)) {
+		if counts(p) && !p.draining && p.fresh(now) && before(p.entry, r.self) && (!r.large() || r.headOf(p, now)) {
 			n++
 		}
 	}
--- a/savoryentry/savorygate/settings.go
+++ b/savoryentry/savorygate/settings.go
@@ -24,6 +24,8 @@
 	Peers netip.AddrPort
 	// Seeds are addresses of peers that may be stale.
 	Seeds []netip.AddrPort
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
 	// Heartbeat is the interval at which backend servers register.
 	Heartbeat time.Duration
 	// DrainTime is how long a server takes requests after it said that it
