--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -34,7 +34,7 @@
 	// fullAt is the part of an engine's memory up to which requests are admitted.
 	// Each counts with its whole answer from its start, so the memory in use is
 	// less.
-	fullAt = 1.0
+	fullAt = 1.1
 	// hopCost is the time of a hop inside a zone.
 	hopCost = 200 * time.Microsecond
 	// unseenTime is the time in which peers' reports catch up with what they send.
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -80,15 +80,18 @@
 	}
 }
 
-// expectedTokens estimates the memory of the request: its prompt and the usual
-// answer, or the caller's estimate if that is longer.
+// expectedTokens estimates the memory of the request: its prompt and the answer
+// by the caller's estimate, or the usual one.
 func (s *stream) expectedTokens() int {
 	e := s.service.Engine
 	prompt := s.caller.PromptTokens
 	if prompt == 0 {
 		prompt = e.UsualPrompt
 	}
-	answer := max(e.UsualAnswer, s.caller.ExpectedTokens)
+	answer := s.caller.ExpectedTokens
+	if answer == 0 {
+		answer = e.UsualAnswer
+	}
 	if s.caller.MaxTokens > 0 {
 		answer = min(answer, s.caller.MaxTokens)
 	}
