--- /dev/null
+++ b/savorycore/savorypath/table_test.go
@@ -0,0 +1,155 @@
+package savorypath
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testModel() *savoryrouting.Engine {
+	return &savoryrouting.Engine{
+		Layers: 80, LayerMB: 1750, TokenBytes: 918000, Stride: 3, StepTime: time.Millisecond,
+		ActivationBytes: 45900, PipeMbps: 18000,
+		Accelerators: []savoryrouting.Accelerator{
+			{Name: "fast", MemoryMB: 72000, StepFactor: 2.4}, {Name: "slow", MemoryMB: 43200, StepFactor: 5.6},
+		},
+	}
+}
+
+func engine(m *savoryrouting.Engine, id, zone, kind string, from, to int) Engine {
+	return Engine{
+		ID: id, Zone: zone, Holds: savoryworld.LayerRange{From: from, To: to}, Kind: m.Accelerator(kind),
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}
+}
+
+// A path runs every layer once and in order, whatever engines hold, and uses no
+// engine that is avoided.
+func TestPathCoversAllLayersOnce(t *testing.T) {
+	m := testModel()
+	rapid.Check(t, func(t *rapid.T) {
+		table := &Table{Zone: "a"}
+		var engines []Engine
+		for i := range rapid.IntRange(1, 14).Draw(t, "engines") {
+			from := rapid.IntRange(0, 7).Draw(t, "from") * 10
+			to := min(80, from+10*rapid.IntRange(1, 4).Draw(t, "units"))
+			zone := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
+			engines = append(engines, engine(m, fmt.Sprint("e", i), zone, "slow", from, to))
+		}
+		table.SetEngines(m, engines)
+		avoided := rapid.SampledFrom(engines).Draw(t, "avoided").ID
+		choice, err := table.Choose(Request{Tokens: 100, Across: true, Avoid: func(id string) bool { return id == avoided }}, begin)
+		if err != nil {
+			return
+		}
+		if err := choice.Path.Check(80); err != nil {
+			t.Fatal(err)
+		}
+		if choice.Path.Uses(avoided) {
+			t.Fatalf("path %s uses %s", choice.Path, avoided)
+		}
+	})
+}
+
+// Pattern: a zone whose chain is broken. Requests go to another zone's chain,
+// and cross zones inside a chain only where none is whole.
+func TestBrokenZone(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	table := &Table{Zone: "a"}
+	whole := []Engine{
+		engine(m, "a1", "a", "fast", 0, 30), engine(m, "a2", "a", "fast", 30, 60),
+		engine(m, "b1", "b", "slow", 0, 20), engine(m, "b2", "b", "slow", 20, 40), engine(m, "b3", "b", "slow", 40, 60), engine(m, "b4", "b", "slow", 60, 80),
+	}
+	table.SetEngines(m, whole)
+	choice, err := table.Choose(Request{Tokens: 100}, begin)
+	is.NoErr(err)
+	is.Equal(choice.Path[0].Server, "b1")
+	table.SetEngines(m, append(whole[:4:4], whole[5])) // b3 is lost as well
+	_, err = table.Choose(Request{Tokens: 100}, begin)
+	is.True(errors.Is(err, ErrNoPath))
+	choice, err = table.Choose(Request{Tokens: 100, Across: true}, begin)
+	is.NoErr(err)
+	is.NoErr(choice.Path.Check(80))
+}
+
+// Pattern: a burst beside a link between zones that all share. Chains over
+// several zones stop before they take more than their part of it.
+func TestBurstAcrossZonesIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	table := &Table{Zone: "a"}
+	table.SetEngines(m, []Engine{engine(m, "a1", "a", "fast", 0, 30), engine(m, "b1", "b", "fast", 30, 60), engine(m, "b2", "b", "fast", 60, 80)})
+	sent := 0
+	for range 100 {
+		r := Request{Tokens: 800, Across: true}
+		choice, err := table.Choose(r, begin)
+		if err != nil {
+			break
+		}
+		table.Began(choice.Path, r.Tokens, begin)
+		sent++
+	}
+	mbit := float64(sent*800) * 45900 * 8 / 1e6
+	is.True(sent > 0)
+	is.True(mbit <= acrossPart*m.PipeMbps*unseenTime.Seconds())
+}
+
+// Pattern: many entries send at once and hear of each other with a lag. Load
+// spreads over replicas, and an entry expects of its peers what it does itself.
+func TestEntriesDoNotHerd(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	const entries = 7
+	tables := make([]*Table, entries)
+	for i := range tables {
+		tables[i] = &Table{Zone: "a"}
+		tables[i].SetEngines(m, []Engine{
+			engine(m, "f", "a", "fast", 0, 40), engine(m, "s1", "a", "slow", 0, 20), engine(m, "s2", "a", "slow", 20, 40),
+			engine(m, "x1", "a", "slow", 40, 60), engine(m, "x2", "a", "slow", 60, 80),
+			engine(m, "y1", "a", "slow", 40, 60), engine(m, "y2", "a", "slow", 60, 80),
+		})
+		for j := range entries {
+			if j != i {
+				tables[i].SetPeer(fmt.Sprint(j), nil, begin)
+			}
+		}
+	}
+	counts := make(map[string]int)
+	for range 5 {
+		for _, table := range tables {
+			r := Request{Tokens: 900}
+			choice, err := table.Choose(r, begin)
+			is.NoErr(err)
+			table.Began(choice.Path, r.Tokens, begin)
+			for _, h := range choice.Path {
+				counts[h.Server]++
+			}
+		}
+	}
+	is.True(counts["x1"] >= 10 && counts["y1"] >= 10) // of 35: near the half
+}
+
+// Load that ended is no longer counted.
+func TestLoadEnds(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	table := &Table{Zone: "a"}
+	table.SetEngines(m, []Engine{engine(m, "f1", "a", "fast", 0, 40), engine(m, "f2", "a", "fast", 40, 80)})
+	choice, err := table.Choose(Request{Tokens: 10}, begin)
+	is.NoErr(err)
+	table.Began(choice.Path, 10, begin)
+	is.Equal(len(table.Own()), 2)
+	table.Ended(choice.Path, 10, begin)
+	is.Equal(len(table.Own()), 0)
+}
--- /dev/null
+++ b/savorycore/savoryroster/roster_test.go
@@ -0,0 +1,126 @@
+package savoryroster
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func atoi(t *testing.T, s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// parseServer reads ID=state,born,beat.
+func parseServer(t *testing.T, text string) Server {
+	id, rest, _ := strings.Cut(text, "=")
+	parts := strings.Split(rest, ",")
+	return Server{
+		ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Leaving: parts[0] == "draining",
+		Born: begin.Add(time.Duration(atoi(t, parts[1])) * time.Second), Beat: atoi(t, parts[2]),
+	}
+}
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { runScript(t, file) })
+	}
+}
+
+func runScript(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r Roster
+	now := begin
+	for n, line := range strings.Split(string(text), "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		switch words[0] {
+		case "list":
+			l := &Listing{Revision: atoi(t, words[1])}
+			for _, w := range words[2:] {
+				l.Servers = append(l.Servers, parseServer(t, w))
+			}
+			now = now.Add(100 * time.Millisecond)
+			r.Apply(l, now, now)
+		case "broken":
+			r.Broken()
+		case "wait":
+			now = now.Add(time.Duration(atoi(t, words[1])) * time.Millisecond)
+		case "usable":
+			var ids []string
+			for _, s := range r.Of("s") {
+				ids = append(ids, s.ID)
+			}
+			if got, want := strings.Join(ids, " "), strings.Join(words[1:], " "); got != want {
+				t.Errorf("%s:%d: usable %q, want %q", file, n+1, got, want)
+			}
+		default:
+			t.Fatalf("%s:%d: unknown word %q", file, n+1, words[0])
+		}
+	}
+}
+
+// What an engine said itself holds against a heartbeat that may be older.
+func TestReportedLayersOutliveOldHeartbeat(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	s := parseServer(t, "a=ready,1,1")
+	r.Apply(&Listing{Revision: 1, Servers: []Server{s}}, begin, begin)
+	layers := savoryworld.LayerRange{From: 0, To: 8}
+	r.Holds("a", s.Born, layers, false, begin)
+	s.Beat = 2
+	r.Apply(&Listing{Revision: 2, Servers: []Server{s}}, begin, begin.Add(beatLag/2))
+	got, _ := r.Server("a")
+	is.Equal(got.Holds, layers)
+	s.Beat = 3
+	r.Apply(&Listing{Revision: 3, Servers: []Server{s}}, begin, begin.Add(2*beatLag))
+	got, _ = r.Server("a")
+	is.True(got.Holds.Empty())
+}
+
+// A server that an engine named as silent is avoided until a heartbeat that was
+// written after that is known.
+func TestNamedServerWaitsForHeartbeat(t *testing.T) {
+	is := is.New(t)
+	var h Health
+	h.Named("a", begin)
+	is.True(h.Avoided("a", begin.Add(5*time.Second)))
+	h.Beat("a", begin.Add(beatLag/2))
+	is.True(h.Avoided("a", begin.Add(5*time.Second)))
+	h.Beat("a", begin.Add(2*beatLag))
+	is.True(!h.Avoided("a", begin.Add(5*time.Second)))
+}
+
+// Requests that fail together count as one failure; later ones double the rest.
+func TestRestDoubles(t *testing.T) {
+	is := is.New(t)
+	var h Health
+	is.Equal(h.Failed("a", begin), begin.Add(firstRest))
+	is.Equal(h.Failed("a", begin.Add(time.Millisecond)), begin.Add(firstRest))
+	second := begin.Add(firstRest + time.Millisecond)
+	is.Equal(h.Failed("a", second), second.Add(2*firstRest))
+	h.Succeeded("a")
+	is.True(!h.Avoided("a", second))
+}
