--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -72,8 +72,12 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, rc: http.NewResponseController(w), began: g.now(), table: g.table.Load()}
+	g.flights.Add(1)
 	g.metrics.inFlight.Inc()
-	defer g.metrics.inFlight.Dec()
+	defer func() {
+		g.metrics.inFlight.Dec()
+		g.flights.Add(-1)
+	}()
 	if g.stopping.Load() {
 		// The connection ends with this answer; the caller opens the next one
 		// to another entry.
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -69,6 +69,7 @@
 	reports    reports
 	streams    streams
 	metrics    *metrics
+	flights    atomic.Int64
 	stopping   atomic.Bool
 	ordering   atomic.Bool
 	storeAt    atomic.Int64
@@ -418,3 +419,6 @@
 	}
 	g.relay.learn(found, g.now())
 }
+
+// InFlight returns the number of requests in flight.
+func (g *Gate) InFlight() int64 { return g.flights.Load() }
