--- /dev/null
+++ b/savorycore/savoryconn/client_test.go
@@ -0,0 +1,225 @@
+package savoryconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// serve runs a scripted server: each connection is handled by the next handler.
+func serve(t *testing.T, handlers ...func(net.Conn, *bufio.Reader)) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for _, handle := range handlers {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			handle(c, bufio.NewReader(c))
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// answer reads a request and writes text, in which $ID stands for nothing.
+func answer(br *bufio.Reader, c net.Conn, text string) {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(c, text)
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func do(c *Client, to netip.AddrPort, id string) (string, *Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, to, &Request{
+		Method: "POST", Target: "/x//y?a=%20b", Host: "h", Header: http.Header{}, Body: []byte("body"), ID: id,
+		AnswerID: func(h http.Header) string { return h.Get("Id") },
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	body, err := io.ReadAll(a)
+	_ = a.Close()
+	return string(body), a, err
+}
+
+// An answer to an earlier request that comes in front of the awaited one is
+// skipped: it never reaches another caller.
+func TestLateAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	to := serve(t, func(c net.Conn, br *bufio.Reader) {
+		answer(br, c, ok("1", "one"))
+		answer(br, c, ok("1", "one")+ok("2", "two"))
+	})
+	c := &Client{DialTimeout: time.Second}
+	body, _, err := do(c, to, "1")
+	is.NoErr(err)
+	is.Equal(body, "one")
+	body, a, err := do(c, to, "2")
+	is.NoErr(err)
+	is.Equal(body, "two")
+	is.True(a.Reused)
+}
+
+// Bytes after a complete answer belong to no request: the connection is not used
+// again.
+func TestExtraBytesEndConnection(t *testing.T) {
+	is := is.New(t)
+	to := serve(t,
+		func(c net.Conn, br *bufio.Reader) { answer(br, c, ok("1", "one")+"garbage") },
+		func(c net.Conn, br *bufio.Reader) { answer(br, c, ok("2", "two")) },
+	)
+	c := &Client{DialTimeout: time.Second}
+	_, _, err := do(c, to, "1")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	body, a, err := do(c, to, "2")
+	is.NoErr(err)
+	is.Equal(body, "two")
+	is.True(!a.Reused)
+}
+
+// A kept connection that the server closed is noticed before it is used.
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	to := serve(t,
+		func(c net.Conn, br *bufio.Reader) { answer(br, c, ok("1", "one")); _ = c.Close() },
+		func(c net.Conn, br *bufio.Reader) { answer(br, c, ok("2", "two")) },
+	)
+	c := &Client{DialTimeout: time.Second}
+	_, _, err := do(c, to, "1")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	body, _, err := do(c, to, "2")
+	is.NoErr(err)
+	is.Equal(body, "two")
+}
+
+// Broken answers are errors, and only a request that was not sent has not run.
+func TestVerdicts(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort", "not http\r\n\r\n"} {
+		to := serve(t, func(c net.Conn, br *bufio.Reader) { answer(br, c, text); _ = c.Close() })
+		_, _, err := do(&Client{DialTimeout: time.Second}, to, "1")
+		is.True(err != nil)
+		var failure *Error
+		if errors.As(err, &failure) {
+			is.Equal(failure.Verdict, savoryverdict.MayHaveRun)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	nobody := netip.MustParseAddrPort(l.Addr().String())
+	is.NoErr(l.Close())
+	_, _, err = do(&Client{DialTimeout: time.Second}, nobody, "1")
+	var failure *Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Verdict, savoryverdict.NotRun)
+	is.Equal(failure.Stage, "dial")
+}
+
+// An answer without a length ends with its connection; a reset one is an error.
+func TestAnswerWithoutLength(t *testing.T) {
+	is := is.New(t)
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\n"
+	to := serve(t, func(c net.Conn, br *bufio.Reader) { answer(br, c, head+"whole"); _ = c.Close() })
+	body, _, err := do(&Client{DialTimeout: time.Second}, to, "1")
+	is.NoErr(err)
+	is.Equal(body, "whole")
+	to = serve(t, func(c net.Conn, br *bufio.Reader) {
+		answer(br, c, head+"part")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	_, _, err = do(&Client{DialTimeout: time.Second}, to, "1")
+	is.True(err != nil)
+}
+
+// A large body is still on its way when the answer comes: the connection is not
+// used again, so that no other request's bytes follow.
+func TestEarlyAnswerToLargeBody(t *testing.T) {
+	is := is.New(t)
+	to := serve(t,
+		func(c net.Conn, br *bufio.Reader) {
+			_, err := http.ReadRequest(br)
+			is.NoErr(err)
+			_, _ = io.WriteString(c, ok("1", "early"))
+		},
+		func(c net.Conn, br *bufio.Reader) { answer(br, c, ok("2", "two")) },
+	)
+	c := &Client{DialTimeout: time.Second}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a, err := c.Do(ctx, to, &Request{
+		Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20), ID: "1",
+		AnswerID: func(h http.Header) string { return h.Get("Id") },
+	})
+	is.NoErr(err)
+	_, err = io.ReadAll(a)
+	is.NoErr(err)
+	is.NoErr(a.Close())
+	body, second, err := do(c, to, "2")
+	is.NoErr(err)
+	is.Equal(body, "two")
+	is.True(!second.Reused)
+}
+
+// The target and the absence of headers that nobody sent are passed unchanged.
+func TestRequestIsPassedUnchanged(t *testing.T) {
+	is := is.New(t)
+	got := make(chan *http.Request, 1)
+	to := serve(t, func(c net.Conn, br *bufio.Reader) {
+		req, err := http.ReadRequest(br)
+		if err == nil {
+			body, _ := io.ReadAll(req.Body)
+			req.Header.Set("Body-Read", string(body))
+			got <- req
+		}
+		_, _ = io.WriteString(c, ok("1", "one"))
+	})
+	_, _, err := do(&Client{DialTimeout: time.Second}, to, "1")
+	is.NoErr(err)
+	req := <-got
+	is.Equal(req.RequestURI, "/x//y?a=%20b")
+	is.Equal(req.Host, "h")
+	is.Equal(req.Header.Get("Body-Read"), "body")
+	is.Equal(req.Header.Get("User-Agent"), "")
+}
+
+func TestPoolDropsWhatRanOut(t *testing.T) {
+	is := is.New(t)
+	var p Pool[string, int]
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var dropped []int
+	drop := func(v int) { dropped = append(dropped, v) }
+	p.Put("a", 1, now.Add(time.Second))
+	p.Put("a", 2, now.Add(3*time.Second))
+	v, found := p.Get("a", now, drop)
+	is.True(found)
+	is.Equal(v, 2) // the newest first
+	p.Sweep(now.Add(2*time.Second), drop)
+	is.Equal(dropped, []int{1})
+	is.Equal(p.Len(), 0)
+}
--- /dev/null
+++ b/savoryentry/savorygate/events_test.go
@@ -0,0 +1,54 @@
+package savorygate
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Whole events only are handed out, each once and in order, however the bytes
+// are cut and wherever the first server breaks off.
+func TestEventsOnceInOrder(t *testing.T) {
+	all := "id: 1\ndata: a\n\nid: 2\nversion: 3\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"
+	rapid.Check(t, func(t *rapid.T) {
+		var b eventBuffer
+		var out strings.Builder
+		feed := func(text string) {
+			for len(text) > 0 {
+				n := rapid.IntRange(1, len(text)).Draw(t, "part")
+				b.add([]byte(text[:n]))
+				text = text[n:]
+				whole, _ := b.take()
+				out.Write(whole)
+			}
+		}
+		feed(all[:rapid.IntRange(0, len(all)).Draw(t, "broken")])
+		b.begin()
+		// The next server may begin anywhere at or before the next event.
+		from := rapid.Int64Range(0, b.last).Draw(t, "from")
+		rest := all
+		for range from {
+			rest = rest[strings.Index(rest, "\n\n")+2:]
+		}
+		feed(rest)
+		if out.String() != all {
+			t.Fatalf("got %q", out.String())
+		}
+		if b.partial() {
+			t.Fatal("bytes are left")
+		}
+	})
+}
+
+func TestLastID(t *testing.T) {
+	is := is.New(t)
+	var b eventBuffer
+	is.Equal(b.lastID("7"), "7")
+	b.add([]byte("id: 8\ndata: x\n\nid: 9\nda"))
+	_, n := b.take()
+	is.Equal(n, 1)
+	is.Equal(b.lastID("7"), "8")
+	is.True(b.partial())
+}
