--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -45,8 +45,18 @@
 	// acrossPart is the part of the bandwidth between zones that chains over
 	// several zones may take: all of them share it, and it may be slow.
 	acrossPart = 0.25
+	// waitPart is the part of an engine's whole pass that a request waits for its
+	// turn at each hop.
+	waitPart = 0.25
 	// loadWeight stretches the cost of an engine whose memory is full.
-	loadWeight = 3.0
+	loadWeight = 2.0
+	// mostReading bounds the part of an engine's time that is taken for reading
+	// prompts in the estimate.
+	mostReading = 0.9
+	// answerPass is the time of a pass from which the time of an answer is
+	// estimated while none was chosen, passSmoothing the weight of a new one.
+	answerPass    = 50 * time.Millisecond
+	passSmoothing = 0.02
 )
 
 // Engine is one engine that holds layers.
@@ -107,7 +117,9 @@
 	peers   map[string]peerLoad
 	total   map[string]Load
 	// grown is the recent growth of this entry's load.
-	grown  map[string]*recent
+	grown map[string]*recent
+	// pass is the smoothed time of a pass over the chosen paths, in seconds.
+	pass   float64
 	across recent
 }
 
@@ -327,6 +339,10 @@
 		return Choice{}, ErrNoPath
 	}
 	best.Zones = zones
+	if t.pass == 0 {
+		t.pass = cost
+	}
+	t.pass += passSmoothing * (cost - t.pass)
 	best.Pass = time.Duration(cost * float64(time.Second))
 	return best, nil
 }
@@ -338,8 +354,10 @@
 // candidate is an engine with its cost for each layer.
 type candidate struct {
 	*Engine
-	// perLayer is the time of one pass for each layer, in seconds.
+	// perLayer is the time of one pass for each layer, wait that for the turn of
+	// a request, in seconds.
 	perLayer float64
+	wait     float64
 	fill     float64
 	full     bool
 }
@@ -351,13 +369,32 @@
 	if room > 0 {
 		fill = (l.Memory + float64(r.Tokens*e.Holds.Count())) / room
 	}
-	slow := max(1, e.Slow)
-	step := t.engine.StepTime.Seconds() + float64(l.Requests+1)*(t.engine.RequestTime.Seconds()+
-		t.engine.ContextTime.Seconds()*float64(r.Tokens)/1000)
-	perLayer := float64(max(1, t.engine.Stride)) * step * e.Kind.StepFactor * slow / float64(t.engine.Layers)
 	// The time of a part grows with the fill, since a full engine preempts.
-	perLayer *= 1 + loadWeight*fill*fill
-	return candidate{Engine: e, perLayer: perLayer, fill: fill, full: fill > fullAt}
+	perLayer := t.passTime(e, l.Requests) * (1 + loadWeight*fill*fill*fill*fill)
+	wait := hopCost.Seconds() + waitPart*perLayer*float64(e.Holds.Count())
+	return candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > fullAt}
+}
+
+// passTime estimates the time of a pass for each layer at an engine that runs n
+// requests: the steps of its batch, stretched by the reading of prompts between
+// them. Prompts arrive as answers end.
+func (t *Table) passTime(e *Engine, n int) float64 {
+	m := t.engine
+	slow := max(1, e.Slow)
+	context := (float64(m.UsualPrompt) + float64(m.UsualAnswer)/2) / 1000
+	step := m.StepTime.Seconds() + float64(n+1)*(m.RequestTime.Seconds()+m.ContextTime.Seconds()*context)
+	stride := float64(max(1, m.Stride))
+	pass := stride * step * e.Kind.StepFactor * slow / float64(m.Layers)
+	if m.ReadPerSecond <= 0 {
+		return pass
+	}
+	usual := t.pass
+	if usual == 0 {
+		usual = answerPass.Seconds()
+	}
+	answer := max(usual, float64(m.UsualAnswer)/stride*usual)
+	read := float64(m.UsualPrompt) / m.ReadPerSecond * e.Kind.ReadFactor * slow * float64(e.Holds.Count()) / float64(m.Layers)
+	return pass / (1 - min(mostReading, float64(n)/answer*read))
 }
 
 // state is the cheapest way from a layer to the end.
@@ -422,7 +459,7 @@
 	}
 	result := none
 	for k := i + 1; k < len(borders) && borders[k] <= c.Holds.To; k++ {
-		own := c.perLayer*float64(borders[k]-borders[i]) + hopCost.Seconds()
+		own := c.perLayer*float64(borders[k]-borders[i]) + c.wait
 		if borders[k] == t.engine.Layers {
 			if own < result.cost {
 				result = state{cost: own, use: -1, to: k}
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -8,9 +8,9 @@
 // link limits them; zones that are too small for that share a group.
 //
 // Within a group a local search weighs the rate of requests that the group can
-// carry: the memory for requests of its weakest units, divided by the time that
-// a request holds it. Besides, it weighs what is left of each unit's memory when
-// its best engine is lost. A plan in force is changed only where that gains
+// carry: by the memory for requests of its units, divided by the time that a
+// request holds it, and by the processor time that a request takes at them.
+// Besides, it weighs what is left of each unit when its best engine is lost. A plan in force is changed only where that gains
 // clearly more than the load costs.
 //
 // The package decides only: it does no I/O and reads no clock.
@@ -35,7 +35,7 @@
 	mostUnits = 20
 	// leastRequests is the least number of usual requests for which an engine
 	// keeps memory; with less it would refuse nearly all of them.
-	leastRequests = 24
+	leastRequests = 40
 	// roomSteps is the number of sizes of request memory that a first plan tries,
 	// each half of the one before.
 	roomSteps = 6
@@ -46,10 +46,13 @@
 	// engine, beside 1 for the rate that the group carries now: few losses pass without one,
 	// and memory beyond the load gains little.
 	lossWeight = 1.2
-	// leastRoom and noRoom are the parts of the group's memory in tokens that are
-	// added after a loss and now; they bound the worth of a first replica.
-	leastRoom = 0.02
-	noRoom    = 0.001
+	// leastRate and noRate are the requests per second that are added after a loss
+	// and now; they bound the worth of a first replica.
+	leastRate = 2.0
+	noRate    = 0.1
+	// busyPasses stretches the time of an answer over that of its steps alone: in
+	// a busy engine each step carries many requests and prompts are read between.
+	busyPasses = 2.0
 	// moveCost is the least gain, as a logarithm of the rate, for which an engine
 	// that serves is moved. coverCost is that while other moves are under way: it
 	// is only reached by units without any engine.
@@ -113,6 +116,9 @@
 	largest := largestUnit(e)
 	for unit := max(1, (e.Layers+mostUnits-1)/mostUnits); unit <= largest; unit++ {
 		p := newPlanner(e, unit)
+		if best.Layers != nil && !p.roomy() {
+			break
+		}
 		plan, worth := Plan{Unit: unit, Layers: make(map[string]savoryworld.LayerRange)}, 0.0
 		for _, group := range p.groups(engines) {
 			runs := p.runs(group)
@@ -255,8 +261,7 @@
 		for n := 1; n <= r.most; n++ {
 			r.rooms[n] = p.engine.Room(r.kind, n*p.unit) / float64(n*p.unit)
 		}
-		least := float64(leastRequests * (p.engine.UsualPrompt + p.engine.UsualAnswer))
-		for r.most > 1 && r.rooms[r.most] < least {
+		for r.most > 1 && r.rooms[r.most] < p.leastRoom() {
 			r.most--
 		}
 		if r.most > 0 {
@@ -269,6 +274,23 @@
 	return runs
 }
 
+// leastRoom returns the least request memory per unit in tokens.
+func (p *planner) leastRoom() float64 {
+	return float64(leastRequests * (p.engine.UsualPrompt + p.engine.UsualAnswer))
+}
+
+// roomy reports whether every kind of accelerator that can hold a unit keeps the
+// least memory beside it.
+func (p *planner) roomy() bool {
+	for i := range p.engine.Accelerators {
+		a := &p.engine.Accelerators[i]
+		if p.engine.MaxLayers(a) >= p.unit && p.engine.Room(a, p.unit)/float64(p.unit) < p.leastRoom() {
+			return false
+		}
+	}
+	return true
+}
+
 // layers returns the layers of a run.
 func (p *planner) layers(r *run) savoryworld.LayerRange {
 	return savoryworld.LayerRange{From: r.at * p.unit, To: min(p.engine.Layers, (r.at+r.n)*p.unit)}
@@ -387,36 +409,74 @@
 	}
 }
 
-// worth is the logarithm of the rate of requests that a group carries, to a
-// scale, with the part for the loss of engines.
+// worth is the logarithm of the rate of requests that a group carries, with the
+// part for the loss of engines. The weakest units count most.
 func (p *planner) worth(runs []*run) float64 {
-	var total, largest, slowness [maxUnits]float64
-	scale := 0.0
+	var units [maxUnits]unitSum
 	for _, r := range runs {
-		// The scale depends neither on the runs nor on the unit.
-		scale += r.kind.MemoryMB
+		rate := 1 / max(1e-9, p.requestTime(r.kind, r.n))
 		for u := r.at; u < r.at+r.n; u++ {
-			room := r.rooms[r.n]
-			total[u] += room
-			largest[u] = max(largest[u], room)
-			slowness[u] += room * r.kind.StepFactor
+			units[u].add(r.rooms[r.n], rate, r.kind.StepFactor)
 		}
 	}
-	scale = max(1, scale*1e6/float64(max(1, p.engine.TokenBytes)))
-	weakest, pass, loss, uncovered := 0.0, 0.0, 0.0, 0
+	pass, uncovered := 0.0, 0
 	for u := range p.units {
-		room := total[u]/scale + noRoom
-		weakest += 1 / (room * room) / float64(p.units)
-		if total[u] == 0 {
+		if units[u].room == 0 {
 			uncovered++
 			pass += p.slowest()
 		} else {
 			// Requests spread over the engines by their memory.
-			pass += slowness[u] / total[u]
+			pass += units[u].slowness / units[u].room
 		}
-		loss += math.Log((total[u]-largest[u])/scale + leastRoom)
 	}
-	return -math.Log(weakest)/2 - math.Log(max(pass/float64(p.units), 1e-9)) + lossWeight*loss/float64(p.units) - coverWorth*float64(uncovered)
+	e := p.engine
+	// A request holds its memory for all passes of its answer.
+	step := e.StepTime.Seconds() * pass / float64(p.units)
+	hold := max(1e-3, float64(e.UsualAnswer)*step*busyPasses)
+	tokens := float64(max(1, e.UsualPrompt+e.UsualAnswer))
+	now, loss := 0.0, 0.0
+	for u := range p.units {
+		s := &units[u]
+		now += weakness(s.room/tokens/hold, s.rate, noRate)
+		loss -= 0.5 * math.Log(weakness((s.room-s.largestRoom)/tokens/hold, s.rate-s.largestRate, leastRate))
+	}
+	return -0.5*math.Log(now/float64(p.units)) + lossWeight*loss/float64(p.units) - coverWorth*float64(uncovered)
+}
+
+// unitSum adds up the engines of a unit.
+type unitSum struct {
+	room, largestRoom float64
+	rate, largestRate float64
+	slowness          float64
+}
+
+func (s *unitSum) add(room, rate, factor float64) {
+	s.room += room
+	s.largestRoom = max(s.largestRoom, room)
+	s.rate += rate
+	s.largestRate = max(s.largestRate, rate)
+	s.slowness += room * factor
+}
+
+// weakness is the sum of the inverse squares of the rates that memory and
+// processors carry; least bounds it.
+func weakness(memory, processors, least float64) float64 {
+	memory, processors = max(0, memory)+least, max(0, processors)+least
+	return 1/(memory*memory) + 1/(processors*processors)
+}
+
+// requestTime is the processor time in seconds that a usual request takes at an
+// engine with n units, beside its part of the fixed steps.
+func (p *planner) requestTime(kind *savoryrouting.Accelerator, n int) float64 {
+	e := p.engine
+	read := 0.0
+	if e.ReadPerSecond > 0 {
+		read = float64(e.UsualPrompt) / e.ReadPerSecond * kind.ReadFactor
+	}
+	context := (float64(e.UsualPrompt) + float64(e.UsualAnswer)/2) / 1000
+	step := e.RequestTime.Seconds() + e.ContextTime.Seconds()*context
+	write := float64(e.UsualAnswer) * step * kind.StepFactor
+	return (read + write) * float64(n*p.unit) / float64(e.Layers)
 }
 
 // slowest returns the largest step factor of the service.
