--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -42,6 +42,9 @@
 	// entry's, half of it unseen.
 	unseenTime = 250 * time.Millisecond
 	unseenPart = 0.5
+	// slotsAt is the part of an engine's slots up to which chains begin there;
+	// what peers send meanwhile takes the rest.
+	slotsAt = 0.9
 	// acrossPart is the part of the bandwidth between zones that chains over
 	// several zones may take: all of them share it, and it may be slow.
 	acrossPart = 0.25
@@ -103,6 +106,9 @@
 	// Requests is the number of requests, Memory their tokens times layers.
 	Requests int
 	Memory   float64
+	// First is the number of requests whose chain begins at the engine; engines
+	// bound these by their slots.
+	First int
 }
 
 // Table knows the engines of one service and their load. Its exported fields
@@ -175,6 +181,7 @@
 			s := t.total[l.Server]
 			s.Requests += l.Requests
 			s.Memory += l.Memory
+			s.First += l.First
 			t.total[l.Server] = s
 		}
 	}
@@ -230,12 +237,15 @@
 		t.own = make(map[string]*Load)
 		t.grown = make(map[string]*recent)
 	}
-	for _, h := range p {
+	for i, h := range p {
 		l := t.own[h.Server]
 		if l == nil {
 			l = &Load{Server: h.Server}
 			t.own[h.Server] = l
 		}
+		if i == 0 {
+			l.First += sign
+		}
 		l.Requests += sign
 		l.Memory += float64(sign * tokens * h.Layers.Count())
 		if t.grown[h.Server] == nil {
@@ -258,6 +268,7 @@
 	if own := t.own[server]; own != nil {
 		l.Requests += own.Requests
 		l.Memory += own.Memory
+		l.First += own.First
 	}
 	return l
 }
@@ -360,6 +371,10 @@
 	wait     float64
 	fill     float64
 	full     bool
+	// first is the cost of beginning a chain at the engine, noFirst that its
+	// slots are taken.
+	first   float64
+	noFirst bool
 }
 
 func (t *Table) candidate(e *Engine, r Request, now time.Time) candidate {
@@ -372,7 +387,13 @@
 	// The time of a part grows with the fill, since a full engine preempts.
 	perLayer := t.passTime(e, l.Requests) * (1 + loadWeight*fill*fill*fill*fill)
 	wait := hopCost.Seconds() + waitPart*perLayer*float64(e.Holds.Count())
-	return candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > fullAt}
+	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > fullAt}
+	if t.engine.Slots > 0 {
+		taken := float64(l.First+1) / float64(t.engine.Slots)
+		c.noFirst = taken > slotsAt
+		c.first = wait * taken
+	}
+	return c
 }
 
 // passTime estimates the time of a pass for each layer at an engine that runs n
@@ -433,8 +454,8 @@
 	}
 	first, cost := -1, math.Inf(1)
 	for j, c := range candidates {
-		s := best[0][j].cost
-		if r.First != "" && c.ID != r.First {
+		s := best[0][j].cost + c.first
+		if r.First != "" && c.ID != r.First || r.First == "" && c.noFirst {
 			continue
 		}
 		if from != "" && c.Zone != from {
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -153,3 +153,25 @@
 	table.Ended(choice.Path, 10, begin)
 	is.Equal(len(table.Own()), 0)
 }
+
+// Pattern: a burst at one engine that begins most chains. Engines bound the
+// requests that they receive, so chains begin elsewhere before that is reached.
+func TestFirstEngineSlots(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	m.Slots = 10
+	table := &Table{Zone: "a"}
+	table.SetEngines(m, []Engine{
+		engine(m, "f1", "a", "fast", 0, 20), engine(m, "s1", "a", "slow", 0, 20), engine(m, "rest1", "a", "fast", 20, 50), engine(m, "rest2", "a", "fast", 50, 80),
+	})
+	firsts := make(map[string]int)
+	for {
+		choice, err := table.Choose(Request{Tokens: 10}, begin)
+		if err != nil {
+			break
+		}
+		table.Began(choice.Path, 10, begin)
+		firsts[choice.Path[0].Server]++
+	}
+	is.Equal(firsts, map[string]int{"f1": 9, "s1": 9})
+}
--- a/savorycore/savorypeer/news.go
+++ b/savorycore/savorypeer/news.go
@@ -24,6 +24,10 @@
 	ListRevision int64
 	ListPrint    uint64
 	ListAge      time.Duration
+	// ListReading identifies the reading. An entry takes the age of a reading
+	// only once: each hop adds its delay, so an age that came back would make
+	// the list look newer than it is.
+	ListReading uint64
 }
 
 // Entry is an entry that the sender knows to live.
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -230,6 +230,11 @@
 		retryAfter = 0
 	}
 	h := c.w.Header()
+	// The head of a server's answer may stand there, not yet sent.
+	clear(h)
+	if c.g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
 	c.g.Dialect.WriteOwn(h, c.caller.ID, retryAfter)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := e.Code + ": " + e.Message + "\n"
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -142,8 +143,8 @@
 	if !g.view.listed() {
 		return time.Hour
 	}
-	_, _, age := g.view.listing(g.now())
-	return age
+	_, known := g.view.listing(g.now())
+	return known.ListAge
 }
 
 // readList reads the list of servers.
@@ -166,7 +167,7 @@
 		}
 		l.Servers = append(l.Servers, s)
 	}
-	if g.takeList(l, readAt, "store") {
+	if g.takeList(l, reading{id: rand.Uint64(), at: readAt}, "store") {
 		g.wakeRelay()
 	}
 	return nil
@@ -187,11 +188,12 @@
 // maxBadEntries bounds the unreadable entries that are remembered.
 const maxBadEntries = 256
 
-// takeList takes a list that was read at readAt, and reports whether it changed
-// what is believed of any server.
-func (g *Gate) takeList(l *savoryroster.Listing, readAt time.Time, source string) bool {
+// takeList takes a reading of the list, and reports whether it changed what is
+// believed of any server.
+func (g *Gate) takeList(l *savoryroster.Listing, r reading, source string) bool {
 	now := g.now()
-	changes := g.view.list(l, readAt, now, g.config())
+	readAt := r.at
+	changes := g.view.list(l, r, now, g.config())
 	for _, c := range changes {
 		g.Log.WithFields(log.Fields{
 			"server": c.Server.ID, "change": c.What, "service": c.Server.Service, "zone": c.Server.Zone, "layers": c.Server.Holds.String(),
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -298,20 +298,25 @@
 	back = !p.fresh(now)
 	p.heardAt, p.draining, p.storeWorks, p.orderer, p.known, p.loads = now, n.Draining, n.StoreWorks, n.Orderer, n.Known, n.Loads
 	for _, e := range n.Entries {
-		if q := r.add(e, now); q != nil {
+		q := r.add(e, now)
+		if q != nil && (e.Zone == n.From.Zone || n.From.Zone == r.self.Zone) {
+			// Only the entries of a zone know which others of it live, and an
+			// entry trusts its own zone: otherwise two heads would keep each
+			// other believing in one that is gone.
 			q.toldAt = now
 		}
 	}
 	return back
 }
 
-// entries returns the peers that were heard.
+// entries returns the peers that were heard, and those of other zones that their
+// heads told of.
 func (r *relay) entries(now time.Time) []savorypeer.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []savorypeer.Entry
 	for _, p := range r.peers {
-		if p.fresh(now) {
+		if p.fresh(now) || p.entry.Zone != r.self.Zone && now.Sub(p.toldAt) < peerFresh {
 			all = append(all, p.entry)
 		}
 	}
@@ -332,7 +337,7 @@
 	add := func(loads []savorypath.Load) {
 		for _, l := range loads {
 			s := sum[l.Server]
-			s.Server, s.Requests, s.Memory = l.Server, s.Requests+l.Requests, s.Memory+l.Memory
+			s.Server, s.Requests, s.Memory, s.First = l.Server, s.Requests+l.Requests, s.Memory+l.Memory, s.First+l.First
 			sum[l.Server] = s
 		}
 	}
@@ -424,12 +429,12 @@
 // news returns what this entry tells an entry that has known.
 func (g *Gate) news(to savorypeer.Entry, known savorypeer.Known) *savorypeer.News {
 	now := g.now()
-	listing, print, age := g.view.listing(now)
+	listing, own := g.view.listing(now)
 	cfg := g.config()
 	n := &savorypeer.News{
 		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.entries(now), Loads: g.relay.loadsFor(to, g.view.ownLoads(), now),
-		Known: savorypeer.Known{ListRevision: listing.Revision, ListPrint: print, ListAge: age},
+		Known: own,
 	}
 	if cfg != nil {
 		n.Known.Config = cfg.Version
@@ -437,7 +442,7 @@
 			n.Config = cfg
 		}
 	}
-	if listing.Revision >= known.ListRevision && print != known.ListPrint {
+	if listing.Revision >= known.ListRevision && own.ListPrint != known.ListPrint {
 		n.Listing = listing
 	}
 	for id, age := range g.view.toldFaults(now) {
@@ -455,9 +460,9 @@
 	on := n.Config != nil && g.put(n.Config, "peer")
 	switch {
 	case n.Listing != nil:
-		on = g.takeList(n.Listing, now.Add(-n.Known.ListAge), "peer") || on
+		on = g.takeList(n.Listing, reading{id: n.Known.ListReading, at: now.Add(-n.Known.ListAge)}, "peer") || on
 	case n.Known.ListRevision > 0:
-		g.view.refreshed(n.Known.ListRevision, n.Known.ListPrint, now.Add(-n.Known.ListAge))
+		g.view.refreshed(n.Known, now)
 	}
 	g.view.peerLoads(n.From.Address, n.Loads, now)
 	for _, f := range n.Faults {
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
 )
@@ -39,15 +40,47 @@
 	current *savoryroster.Listing
 	print   uint64
 	dirty   bool
+	// readings are the readings whose age was taken, newest the one that the
+	// list's age counts from.
+	readings []uint64
+	newest   uint64
 }
 
 // errNoServer says that no server of a service may get work.
 var errNoServer = errors.New("no server is available")
 
+// reading is one reading of the platform's list.
+type reading struct {
+	id uint64
+	at time.Time
+}
+
+// readingsKept is the number of readings that are remembered.
+const readingsKept = 64
+
+// taken notes a reading and reports whether its age was taken before.
+func (v *view) taken(id uint64) bool {
+	if slices.Contains(v.readings, id) {
+		return true
+	}
+	v.readings = append(v.readings, id)
+	if len(v.readings) > readingsKept {
+		v.readings = v.readings[1:]
+	}
+	return false
+}
+
 // list takes a reading of the platform's list.
-func (v *view) list(l *savoryroster.Listing, readAt, now time.Time, cfg *savoryrouting.Config) []savoryroster.Change {
+func (v *view) list(l *savoryroster.Listing, r reading, now time.Time, cfg *savoryrouting.Config) []savoryroster.Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	readAt := r.at
+	if v.taken(r.id) {
+		readAt = v.roster.ReadAt()
+	}
+	if readAt.After(v.roster.ReadAt()) {
+		v.newest = r.id
+	}
 	changes := v.roster.Apply(l, readAt, now)
 	v.dirty = true
 	for _, c := range changes {
@@ -301,13 +334,15 @@
 	return all, failing
 }
 
-// listing returns the current list with its fingerprint and age. The list is
-// not changed by its receiver.
-func (v *view) listing(now time.Time) (*savoryroster.Listing, uint64, time.Duration) {
+// listing returns the current list with what is known of it. The list is not
+// changed by its receiver.
+func (v *view) listing(now time.Time) (*savoryroster.Listing, savorypeer.Known) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.refreshListing()
-	return v.current, v.print, max(0, now.Sub(v.roster.ReadAt()))
+	return v.current, savorypeer.Known{
+		ListRevision: v.current.Revision, ListPrint: v.print, ListAge: max(0, now.Sub(v.roster.ReadAt())), ListReading: v.newest,
+	}
 }
 
 // refreshListing brings the copy of the list that peers are handed up to date.
@@ -336,11 +371,16 @@
 }
 
 // refreshed notes that the list at hand was still the same at a later reading.
-func (v *view) refreshed(revision int64, print uint64, readAt time.Time) {
+func (v *view) refreshed(known savorypeer.Known, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.refreshListing()
-	if v.print == print {
-		v.roster.Confirm(revision, readAt)
+	if v.print != known.ListPrint || v.taken(known.ListReading) {
+		return
+	}
+	readAt := now.Add(-known.ListAge)
+	if readAt.After(v.roster.ReadAt()) {
+		v.newest = known.ListReading
 	}
+	v.roster.Confirm(known.ListRevision, readAt)
 }
