--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -33,9 +33,6 @@
 	brokenRetry = 2 * time.Second
 )
 
-// errCallerGone ends a request whose caller has left.
-var errCallerGone = errors.New("the caller has left")
-
 // errDeadline ends a request whose time is over.
 var errDeadline = errors.New("the deadline has passed")
 
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -14,7 +14,6 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savoryconn"
-	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryverdict"
 )
 
@@ -173,7 +172,7 @@
 	if answer.StatusCode >= http.StatusInternalServerError {
 		// The server failed by itself; a repeatable request may do better at
 		// another.
-		c.serverFailed(id, errStatus(answer.StatusCode))
+		c.serverFailed(id, statusError(answer.StatusCode))
 		res.verdict = savoryverdict.MayHaveRun
 		return res
 	}
@@ -184,10 +183,10 @@
 // errSlow ends an attempt of a repeatable request whose server is slow.
 var errSlow = errors.New("the server did not answer in its part of the time")
 
-// errStatus is a failure by status.
-type errStatus int
+// statusError is a failure by the status of a server's answer.
+type statusError int
 
-func (e errStatus) Error() string { return "status " + strconv.Itoa(int(e)) }
+func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
 
 // both joins the release of an outer context with that of an inner one.
 func both(outer context.CancelFunc) func(context.Context, context.CancelFunc) (context.Context, context.CancelFunc) {
@@ -221,7 +220,7 @@
 
 // passPlain hands a server's answer to the caller.
 func (c *call) passPlain(res plainResult) {
-	defer res.answer.Close()
+	defer func() { _ = res.answer.Close() }()
 	c.mayHaveRun = true
 	c.headAnswer(res.answer.Header)
 	switch {
@@ -268,6 +267,3 @@
 		}
 	}
 }
-
-// streamKind reports whether answers of the route are event streams.
-func streamKind(r *savoryrouting.Route) bool { return r.Kind == savoryrouting.Streaming }
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -47,7 +47,7 @@
 	ended  bool
 }
 
-func newStallWatch(a *attempt, ctx context.Context) *stallWatch {
+func newStallWatch(ctx context.Context, a *attempt) *stallWatch {
 	w := &stallWatch{a: a, ctx: ctx, path: a.path, lastAt: a.g.now()}
 	w.after = min(lookMost, max(lookLeast, lookPasses*a.choice.Pass))
 	w.timer = time.AfterFunc(firstEventLooks*w.after, w.look)
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -130,7 +130,7 @@
 		return s.g.view.choosePath(s.service.Name, r, now)
 	}
 	var choice savorypath.Choice
-	err := error(savorypath.ErrNoPath)
+	err := savorypath.ErrNoPath
 	for first := range s.firsts {
 		r.First = first
 		if choice, err = s.g.view.choosePath(s.service.Name, r, now); err == nil {
@@ -257,7 +257,7 @@
 	ctx, cancel := context.WithCancelCause(outer)
 	defer cancel(nil)
 	a.cancel = cancel
-	a.watch = newStallWatch(a, ctx)
+	a.watch = newStallWatch(ctx, a)
 	defer func() {
 		a.watch.stop()
 		a.g.view.endPath(a.service.Name, a.watch.currentPath(), a.tokens)
@@ -323,7 +323,7 @@
 	answered := a.g.Dialect.ReadAnswer(a.answer.StatusCode, a.answer.Header)
 	text, err := io.ReadAll(io.LimitReader(a.answer, wholeBytes))
 	a.text = text
-	a.err = errStatus(a.answer.StatusCode)
+	a.err = statusError(a.answer.StatusCode)
 	fault := byAddress(a.path, answered.Fault)
 	a.log.WithFields(log.Fields{
 		"path": a.path.String(), "status": a.answer.StatusCode, "notRun": answered.NotRun, "fault": fault,
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -33,7 +33,6 @@
 	flights map[string]int
 	// faults are faults that engines named lately.
 	faults map[string]time.Time
-	peers  map[netip.AddrPort][]savorypath.Load
 	slow   map[string]float64
 	// current is a copy of the list for peers, print its fingerprint; dirty says
 	// that the roster has changed since.
