--- /dev/null
+++ b/savorycore/savorylimit/window.go
@@ -0,0 +1,64 @@
+package savorylimit
+
+// This file defines WindowBudget, an entry's share of the retries that a fleet
+// may make in any span of a given length.
+
+import "time"
+
+// windowParts is the number of parts that a window is counted in.
+const windowParts = 10
+
+// WindowBudget allows retries up to Slack and Ratio of the requests in any
+// window. A failure of many requests at once may use all of it at once. Its
+// exported fields are set before its first use and may be changed later; it is
+// not safe for concurrent use.
+type WindowBudget struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+
+	// Both rings hold one part more than a window, since a window may begin
+	// within a part.
+	requests [windowParts + 1]int
+	retries  [windowParts + 1]int
+	part     int64
+}
+
+// Request counts a request.
+func (b *WindowBudget) Request(now time.Time) {
+	b.advance(now)
+	b.requests[b.index()]++
+}
+
+// Retry reports whether a retry is allowed at now, and counts it.
+func (b *WindowBudget) Retry(now time.Time) bool {
+	b.advance(now)
+	requests, retries := 0, 0
+	for i := range b.retries {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	// The oldest part may lie before the window: its requests do not count.
+	requests -= b.requests[(b.part+1)%(windowParts+1)]
+	if float64(retries)+1 > b.Slack+b.Ratio*float64(requests) {
+		return false
+	}
+	b.retries[b.index()]++
+	return true
+}
+
+func (b *WindowBudget) index() int64 { return b.part % (windowParts + 1) }
+
+// advance clears the parts that have passed.
+func (b *WindowBudget) advance(now time.Time) {
+	part := now.UnixNano() / int64(b.Window/windowParts)
+	if part-b.part > windowParts {
+		b.requests, b.retries = [windowParts + 1]int{}, [windowParts + 1]int{}
+		b.part = part
+		return
+	}
+	for b.part < part {
+		b.part++
+		b.requests[b.index()], b.retries[b.index()] = 0, 0
+	}
+}
--- /dev/null
+++ b/savorycore/savorylimit/window_test.go
@@ -0,0 +1,53 @@
+package savorylimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Pattern: an engine dies with all its streams. The whole share may be used at
+// once, and no window ever holds more than it.
+func TestWindowBudgetAllowsBurst(t *testing.T) {
+	is := is.New(t)
+	b := WindowBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for range 100 {
+		b.Request(now)
+		now = now.Add(90 * time.Millisecond)
+	}
+	n := 0
+	for b.Retry(now) {
+		n++
+	}
+	is.Equal(n, 40)
+	is.True(!b.Retry(now.Add(9 * time.Second)))
+	is.True(b.Retry(now.Add(11 * time.Second)))
+}
+
+func TestWindowBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := WindowBudget{Slack: float64(rapid.IntRange(1, 20).Draw(t, "slack")), Window: 10 * time.Second}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var allowed []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if b.Retry(now) {
+				allowed = append(allowed, now)
+			}
+		}
+		for i, from := range allowed {
+			n := 0
+			for _, at := range allowed[i:] {
+				if at.Sub(from) < b.Window {
+					n++
+				}
+			}
+			if float64(n) > b.Slack {
+				t.Fatalf("%d retries in a window, more than %v", n, b.Slack)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/savoryctl/explain.go
@@ -0,0 +1,226 @@
+package main
+
+// This file defines the command that explains a request from logs of several
+// VMs.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+const (
+	// explainAround is the time before a request's first line and after its last
+	// in which changes of belief about its servers are shown.
+	explainAround = 2 * time.Second
+	// maxLogLine bounds a line of a log.
+	maxLogLine = 1 << 20
+)
+
+// logLine is one line of an entry's log.
+type logLine struct {
+	at      time.Time
+	vm      string
+	message string
+	request string
+	server  string
+	path    string
+	level   string
+	text    string
+}
+
+// runExplain prints a request's life in order of time, with the changes of
+// belief about the servers that it met.
+func runExplain(s *session, args []string) error {
+	if len(args) < 1 || strings.HasPrefix(args[0], "-") {
+		fmt.Fprintln(s.errOut, "usage: savoryctl explain ID [FILE...]; without a file the logs are read from standard input")
+		return errUsage
+	}
+	var lines []logLine
+	bad := 0
+	read := func(r io.Reader, name string) error {
+		more, faults, err := readLog(r)
+		lines, bad = append(lines, more...), bad+faults
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		return nil
+	}
+	if len(args) == 1 {
+		if err := read(os.Stdin, "standard input"); err != nil {
+			return err
+		}
+	}
+	for _, name := range args[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = read(f, name)
+		if err = errors.Join(err, f.Close()); err != nil {
+			return err
+		}
+	}
+	if bad > 0 {
+		fmt.Fprintf(s.errOut, "savoryctl explain: %d lines cannot be read\n", bad)
+	}
+	return explain(s.out, args[0], lines)
+}
+
+// readLog reads the lines of a log. Text in front of the first pair, such as a
+// time and a VM's name, is kept as the VM. It returns the number of lines that
+// are no log lines.
+func readLog(r io.Reader) ([]logLine, int, error) {
+	var lines []logLine
+	bad := 0
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if strings.TrimSpace(text) == "" {
+			continue
+		}
+		line, err := parseLog(text)
+		if err != nil {
+			bad++
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return lines, bad, scanner.Err()
+}
+
+// errNoLogLine says that a line lacks what each line of a log has.
+var errNoLogLine = errors.New("no timestamp or message")
+
+func parseLog(text string) (logLine, error) {
+	begin := strings.Index(text, "timestamp=")
+	if begin < 0 {
+		return logLine{}, errNoLogLine
+	}
+	var l logLine
+	if front := strings.Fields(text[:begin]); len(front) > 0 {
+		l.vm = front[len(front)-1]
+	}
+	l.text = text[begin:]
+	d := logfmt.NewDecoder(strings.NewReader(l.text))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			l.set(string(d.Key()), string(d.Value()))
+		}
+	}
+	if err := d.Err(); err != nil {
+		return logLine{}, err
+	}
+	if l.at.IsZero() || l.message == "" {
+		return logLine{}, errNoLogLine
+	}
+	return l, nil
+}
+
+func (l *logLine) set(key, value string) {
+	switch key {
+	case "timestamp":
+		if at, err := time.Parse(time.RFC3339Nano, value); err == nil {
+			l.at = at
+		}
+	case "message":
+		l.message = value
+	case "request":
+		l.request = value
+	case "server":
+		l.server = value
+	case "path", "to":
+		l.path = value
+	case "level":
+		l.level = value
+	}
+}
+
+// explain prints what concerns a request.
+func explain(w io.Writer, id string, lines []logLine) error {
+	var own []logLine
+	vms := make(map[string]bool)
+	servers := make(map[string]bool)
+	for _, l := range lines {
+		if l.request != id {
+			continue
+		}
+		own = append(own, l)
+		vms[l.vm] = true
+		if l.server != "" {
+			servers[l.server] = true
+		}
+		for _, part := range strings.Split(l.path, ",") {
+			if server, _, ok := strings.Cut(part, "="); ok {
+				servers[server] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return fmt.Errorf("no line tells of request %q; successes are sampled, failures are not", id)
+	}
+	byTime := func(a, b logLine) int { return a.at.Compare(b.at) }
+	slices.SortStableFunc(own, byTime)
+	from, to := own[0].at.Add(-explainAround), own[len(own)-1].at.Add(explainAround)
+	shown := slices.Clone(own)
+	for _, l := range lines {
+		if l.request == "" && vms[l.vm] && l.at.After(from) && l.at.Before(to) && (servers[l.server] || l.concernsAll()) {
+			shown = append(shown, l)
+		}
+	}
+	slices.SortStableFunc(shown, byTime)
+	for _, l := range shown {
+		mark := " "
+		if l.request == id {
+			mark = "*"
+		}
+		fmt.Fprintf(w, "%s %8.3f s %s %s\n", mark, l.at.Sub(own[0].at).Seconds(), l.vm, withoutTime(l.text))
+	}
+	last := own[len(own)-1]
+	_, err := fmt.Fprintf(w, "cause: %s\n", cause(last))
+	return err
+}
+
+// concernsAll reports whether a line tells of a change that touches every
+// request of the entry.
+func (l *logLine) concernsAll() bool {
+	for _, begin := range []string{"store ", "orderer ", "configuration ", "settings ", "entry ", "stop ", "plan ", "order "} {
+		if strings.HasPrefix(l.message, begin) {
+			return true
+		}
+	}
+	return false
+}
+
+func withoutTime(text string) string {
+	_, rest, ok := strings.Cut(text, " ")
+	if !ok {
+		return text
+	}
+	return rest
+}
+
+// cause returns what the last line of a request gives as its cause.
+func cause(l logLine) string {
+	d := logfmt.NewDecoder(strings.NewReader(l.text))
+	outcome := l.message
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			switch string(d.Key()) {
+			case "cause":
+				return string(d.Value())
+			case "outcome":
+				outcome = string(d.Value())
+			}
+		}
+	}
+	return outcome
+}
--- a/savoryctl/main.go
+++ b/savoryctl/main.go
@@ -54,6 +54,7 @@
 		{"servers", "", "show the backend servers as an entry sees them", runServers},
 		{"pipelines", "", "show the pipelines and their layer cover", runPipelines},
 		{"leave", "SERVER", "stop new work for a backend server, or allow it again", runLeave},
+		{"explain", "ID", "tell a request's life and the cause of its end from logs", runExplain},
 		{"drain", "", "begin the planned stop of an entry", runDrain},
 	}
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -80,7 +80,7 @@
 	configRevision int64
 
 	budgetMu sync.Mutex
-	budgets  map[string]*savorylimit.RetryBudget
+	budgets  map[string]*savorylimit.WindowBudget
 
 	idleMu sync.Mutex
 	idle   map[net.Conn]time.Time
@@ -126,7 +126,7 @@
 	}
 	g.peers = &savorypeer.Client{Timeout: syncTimeout}
 	g.servers = &savoryconn.Client{DialTimeout: dialTimeout, Dialed: g.metrics.dials.Inc}
-	g.budgets = make(map[string]*savorylimit.RetryBudget)
+	g.budgets = make(map[string]*savorylimit.WindowBudget)
 	g.idle = make(map[net.Conn]time.Time)
 	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
 	if err := g.listen(s); err != nil {
@@ -288,18 +288,18 @@
 // setBudgets divides the retries among the live entries.
 func (g *Gate) setBudgets() {
 	s := g.Settings()
-	share := savorylimit.ShareBudget(budgetPart*s.RetryRatio, budgetPart*s.RetrySlack, s.RetryWindow, g.relay.live(g.now()))
+	slack := budgetPart * s.RetrySlack / float64(g.relay.live(g.now()))
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
 	if cfg := g.config(); cfg != nil {
 		for _, service := range cfg.Services {
 			if g.budgets[service.Name] == nil {
-				g.budgets[service.Name] = new(savorylimit.RetryBudget)
+				g.budgets[service.Name] = new(savorylimit.WindowBudget)
 			}
 		}
 	}
 	for _, b := range g.budgets {
-		b.Set(share)
+		b.Ratio, b.Slack, b.Window = budgetPart*s.RetryRatio, slack, s.RetryWindow
 	}
 }
 
