--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -46,6 +46,11 @@
 	Busy bool `msgpack:",omitempty"`
 	// Beat counts the heartbeats of the incarnation.
 	Beat int64
+	// Orders is the number of orders that the engine had accepted when it last
+	// reported itself, and ReportedBeat its last heartbeat that was known then;
+	// 0 if it was not asked lately. Holds and Busy are then the report's.
+	Orders       int64 `msgpack:",omitempty"`
+	ReportedBeat int64 `msgpack:",omitempty"`
 }
 
 // Listing is one reading of the platform's list.
@@ -104,8 +109,6 @@
 	Server
 	// beatAt is when the last heartbeat was first seen.
 	beatAt time.Time
-	// reportedAt is when the engine itself last reported what it holds.
-	reportedAt time.Time
 }
 
 type goneServer struct {
@@ -188,15 +191,14 @@
 		// A late heartbeat.
 		return Change{}, false
 	case s.Born.After(before.Born):
-		known.Server, known.reportedAt = s, time.Time{}
+		known.Server = s
 		return Change{Server: s, What: "restarted"}, true
 	}
 	if before.Leaving {
 		s.Leaving = true
 	}
-	if !known.reportedAt.IsZero() && now.Sub(known.reportedAt) < beatLag {
-		// The heartbeat may be older than the report.
-		s.Holds, s.Busy = before.Holds, before.Busy
+	if before.reportOutlives(s) {
+		s.Holds, s.Busy, s.Orders, s.ReportedBeat = before.Holds, before.Busy, before.Orders, before.ReportedBeat
 	}
 	known.Server = s
 	switch {
@@ -209,12 +211,28 @@
 }
 
 // Holds records what an engine itself reported.
-func (r *Roster) Holds(id string, born time.Time, holds savoryworld.LayerRange, busy bool, now time.Time) {
+func (r *Roster) Holds(id string, born time.Time, orders int64, holds savoryworld.LayerRange, busy bool) {
 	if e := r.servers[id]; e != nil && e.Born.Equal(born) {
-		e.Server.Holds, e.Busy, e.reportedAt = holds, busy, now
+		e.Server.Holds, e.Busy, e.Orders, e.ReportedBeat = holds, busy, orders, e.Beat
 	}
 }
 
+// reportBeats is the number of heartbeats after a report of which the last was
+// written after it.
+const reportBeats = 2
+
+// reportOutlives reports whether what the engine itself reported, known in s,
+// still holds against a listed state of the same incarnation, which may be older.
+func (s Server) reportOutlives(listed Server) bool {
+	switch {
+	case listed.Orders < s.Orders:
+		return listed.Beat < s.ReportedBeat+reportBeats
+	case listed.Orders == s.Orders && s.Orders > 0:
+		return listed.Busy && !s.Busy
+	}
+	return false
+}
+
 // Leave records that a server was found leaving or replaced by its own answer.
 func (r *Roster) Leave(id string) {
 	if e := r.servers[id]; e != nil {
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -82,22 +82,34 @@
 	}
 }
 
-// What an engine said itself holds against a heartbeat that may be older.
-func TestReportedLayersOutliveOldHeartbeat(t *testing.T) {
+// What an engine reported itself holds against heartbeats that may be older, also
+// where a peer hands them over, until a later one is known.
+func TestReportOutlivesOldHeartbeats(t *testing.T) {
 	is := is.New(t)
 	var r Roster
-	s := parseServer(t, "a=ready,1,1")
+	s := parseServer(t, "a=ready,1,5")
+	s.Holds = savoryworld.LayerRange{From: 8, To: 16}
 	r.Apply(&Listing{Revision: 1, Servers: []Server{s}}, begin, begin)
-	layers := savoryworld.LayerRange{From: 0, To: 8}
-	r.Holds("a", s.Born, layers, false, begin)
-	s.Beat = 2
-	r.Apply(&Listing{Revision: 2, Servers: []Server{s}}, begin, begin.Add(beatLag/2))
-	got, _ := r.Server("a")
-	is.Equal(got.Holds, layers)
-	s.Beat = 3
-	r.Apply(&Listing{Revision: 3, Servers: []Server{s}}, begin, begin.Add(2*beatLag))
-	got, _ = r.Server("a")
-	is.True(got.Holds.Empty())
+	r.Holds("a", s.Born, 2, savoryworld.LayerRange{}, true)
+	holds := func() savoryworld.LayerRange {
+		got, _ := r.Server("a")
+		return got.Holds
+	}
+	for _, beat := range []int64{5, 6} {
+		s.Beat = beat
+		r.Apply(&Listing{Revision: 2, Servers: []Server{s}}, begin, begin)
+		is.True(holds().Empty())
+	}
+	// The order is done; a peer that does not know yet changes nothing.
+	done := savoryworld.LayerRange{From: 16, To: 24}
+	r.Holds("a", s.Born, 2, done, false)
+	busy := s
+	busy.Orders, busy.Busy, busy.Holds, busy.ReportedBeat = 2, true, savoryworld.LayerRange{}, 5
+	r.Apply(&Listing{Revision: 3, Servers: []Server{busy}}, begin, begin)
+	is.Equal(holds(), done)
+	s.Beat, s.Holds = 8, savoryworld.LayerRange{From: 16, To: 24}
+	r.Apply(&Listing{Revision: 4, Servers: []Server{s}}, begin, begin)
+	is.Equal(holds(), s.Holds)
 }
 
 // A server that an engine named as silent is avoided until a heartbeat that was
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -274,7 +274,7 @@
 		return
 	}
 	if report.Holds == order.Layers || report.Busy {
-		g.view.holds(order.Server.ID, report, g.config(), g.now())
+		g.view.holds(order.Server.ID, report, g.config())
 		return
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
@@ -290,8 +290,9 @@
 	entry.Info("order given")
 	if result == OrderBegun {
 		// Until it is done the engine serves only what it keeps.
+		report.Orders++
 		report.Holds, report.Busy = report.Holds.Intersect(order.Layers), true
-		g.view.holds(order.Server.ID, report, g.config(), g.now())
+		g.view.holds(order.Server.ID, report, g.config())
 		g.wakeRelay()
 	}
 	g.metrics.orders.WithLabelValues("Place", string(result)).Inc()
@@ -305,7 +306,7 @@
 		}
 		report, err := g.engineReport(order.Server)
 		if err == nil && report.Holds == order.Layers && !report.Busy {
-			g.view.holds(order.Server.ID, report, g.config(), g.now())
+			g.view.holds(order.Server.ID, report, g.config())
 			g.Log.WithFields(log.Fields{"server": order.Server.ID, "layers": report.Holds.String(), "orders": report.Orders}).Info("order done")
 			g.wakeRelay()
 			return
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -251,10 +251,10 @@
 }
 
 // holds records what an engine said of itself.
-func (v *view) holds(id string, r Report, cfg *savoryrouting.Config, now time.Time) {
+func (v *view) holds(id string, r Report, cfg *savoryrouting.Config) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.roster.Holds(id, r.Born, r.Holds, r.Busy, now)
+	v.roster.Holds(id, r.Born, r.Orders, r.Holds, r.Busy)
 	v.dirty = true
 	v.rebuild(cfg)
 }
