--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -45,6 +46,10 @@
 	// slotsAt is the part of an engine's slots up to which chains begin there;
 	// what peers send meanwhile takes the rest.
 	slotsAt = 0.9
+	// spread is the part by which costs are raised at random: entries that know
+	// the same loads would otherwise all choose the same engines until they hear
+	// of each other.
+	spread = 0.6
 	// acrossPart is the part of the bandwidth between zones that chains over
 	// several zones may take: all of them share it, and it may be slow.
 	acrossPart = 0.25
@@ -116,6 +121,9 @@
 type Table struct {
 	// Zone is the entry's availability zone.
 	Zone string
+	// Rand spreads the choices of many entries over engines of like cost; nil
+	// takes the cheapest.
+	Rand *rand.Rand
 
 	engine  *savoryrouting.Engine
 	engines []Engine
@@ -386,6 +394,9 @@
 	}
 	// The time of a part grows with the fill, since a full engine preempts.
 	perLayer := t.passTime(e, l.Requests) * (1 + loadWeight*fill*fill*fill*fill)
+	if t.Rand != nil {
+		perLayer *= 1 + spread*t.Rand.Float64()
+	}
 	wait := hopCost.Seconds() + waitPart*perLayer*float64(e.Holds.Count())
 	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > fullAt}
 	if t.engine.Slots > 0 {
@@ -398,24 +409,31 @@
 
 // passTime estimates the time of a pass for each layer at an engine that runs n
 // requests: the steps of its batch, stretched by the reading of prompts between
-// them. Prompts arrive as answers end.
+// them. A request is at the engine for its part of the chain only, and prompts
+// arrive as answers end.
 func (t *Table) passTime(e *Engine, n int) float64 {
 	m := t.engine
 	slow := max(1, e.Slow)
-	context := (float64(m.UsualPrompt) + float64(m.UsualAnswer)/2) / 1000
-	step := m.StepTime.Seconds() + float64(n+1)*(m.RequestTime.Seconds()+m.ContextTime.Seconds()*context)
+	part := float64(e.Holds.Count()) / float64(m.Layers)
 	stride := float64(max(1, m.Stride))
-	pass := stride * step * e.Kind.StepFactor * slow / float64(m.Layers)
-	if m.ReadPerSecond <= 0 {
-		return pass
-	}
+	context := (float64(m.UsualPrompt) + float64(m.UsualAnswer)/2) / 1000
+	batch := 1 + float64(n)*part
+	step := m.StepTime.Seconds() + batch*(m.RequestTime.Seconds()+m.ContextTime.Seconds()*context)
+	pass := stride * step * e.Kind.StepFactor * slow
 	usual := t.pass
 	if usual == 0 {
 		usual = answerPass.Seconds()
 	}
 	answer := max(usual, float64(m.UsualAnswer)/stride*usual)
-	read := float64(m.UsualPrompt) / m.ReadPerSecond * e.Kind.ReadFactor * slow * float64(e.Holds.Count()) / float64(m.Layers)
-	return pass / (1 - min(mostReading, float64(n)/answer*read))
+	read := 0.0
+	if m.ReadPerSecond > 0 {
+		read = float64(m.UsualPrompt) / m.ReadPerSecond * e.Kind.ReadFactor * slow
+	}
+	if m.ReadChunk > 0 {
+		read += float64(m.UsualPrompt) / float64(m.ReadChunk) * pass
+	}
+	reading := float64(n) / answer * read * part
+	return pass / float64(m.Layers) / (1 - min(mostReading, reading))
 }
 
 // state is the cheapest way from a layer to the end.
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -113,7 +114,7 @@
 	const entries = 7
 	tables := make([]*Table, entries)
 	for i := range tables {
-		tables[i] = &Table{Zone: "a"}
+		tables[i] = &Table{Zone: "a", Rand: rand.New(rand.NewPCG(1, uint64(i)))}
 		tables[i].SetEngines(m, []Engine{
 			engine(m, "f", "a", "fast", 0, 40), engine(m, "s1", "a", "slow", 0, 20), engine(m, "s2", "a", "slow", 20, 40),
 			engine(m, "x1", "a", "slow", 40, 60), engine(m, "x2", "a", "slow", 60, 80),
@@ -175,3 +176,29 @@
 	}
 	is.Equal(firsts, map[string]int{"f1": 9, "s1": 9})
 }
+
+// Pattern: a large fleet whose entries know the same loads, and send before they
+// hear of each other. Replicas of like cost share the requests.
+func TestLargeFleetSpreads(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	var engines []Engine
+	for i := range 4 {
+		engines = append(engines, engine(m, fmt.Sprint("x", i), "a", "slow", 0, 20), engine(m, fmt.Sprint("y", i), "a", "fast", 20, 50))
+	}
+	engines = append(engines, engine(m, "z", "a", "fast", 50, 80))
+	counts := make(map[string]int)
+	for i := range 60 {
+		table := &Table{Zone: "a", Rand: rand.New(rand.NewPCG(2, uint64(i)))}
+		table.SetEngines(m, engines)
+		choice, err := table.Choose(Request{Tokens: 900}, begin)
+		is.NoErr(err)
+		for _, h := range choice.Path {
+			counts[h.Server]++
+		}
+	}
+	for i := range 4 {
+		is.True(counts[fmt.Sprint("x", i)] >= 5) // of 15 each on the mean
+		is.True(counts[fmt.Sprint("y", i)] >= 5)
+	}
+}
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -473,6 +473,10 @@
 	if e.ReadPerSecond > 0 {
 		read = float64(e.UsualPrompt) / e.ReadPerSecond * kind.ReadFactor
 	}
+	if e.ReadChunk > 0 {
+		// A prompt is read in pieces, each in a pass beside the writers' steps.
+		read += float64(e.UsualPrompt) / float64(e.ReadChunk) * float64(max(1, e.Stride)) * e.StepTime.Seconds() * kind.StepFactor
+	}
 	context := (float64(e.UsualPrompt) + float64(e.UsualAnswer)/2) / 1000
 	step := e.RequestTime.Seconds() + e.ContextTime.Seconds()*context
 	write := float64(e.UsualAnswer) * step * kind.StepFactor
--- a/savorycore/savoryplacement/plan_test.go
+++ b/savorycore/savoryplacement/plan_test.go
@@ -15,7 +15,7 @@
 // testEngine is a model of 80 layers on three kinds of accelerators.
 func testEngine() *savoryrouting.Engine {
 	return &savoryrouting.Engine{
-		Layers: 80, LayerMB: 1750, TokenBytes: 918000, LoadsAtOnce: 5, UsualPrompt: 774, UsualAnswer: 203, Stride: 3, ReadPerSecond: 105000,
+		Layers: 80, LayerMB: 1750, TokenBytes: 918000, LoadsAtOnce: 5, UsualPrompt: 774, UsualAnswer: 203, Stride: 3, ReadPerSecond: 105000, ReadChunk: 512,
 		StepTime: 1020 * time.Microsecond, RequestTime: 7140 * time.Nanosecond, ContextTime: 9560 * time.Nanosecond,
 		Accelerators: []savoryrouting.Accelerator{
 			{Name: "large", MemoryMB: 72000, StepFactor: 2.4, ReadFactor: 3.2},
--- a/savorycore/savoryrouting/config.go
+++ b/savorycore/savoryrouting/config.go
@@ -96,6 +96,8 @@
 	ContextTime time.Duration
 	// ReadPerSecond is the number of prompt tokens read per second.
 	ReadPerSecond float64
+	// ReadChunk is the most prompt tokens that are read in one step.
+	ReadChunk int
 	// Stride is the number of steps of one pass, which makes one event.
 	Stride int
 	// LoadTime is the time to load all layers; LoadsAtOnce loads run at full
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -133,7 +133,7 @@
 		if v.paths == nil {
 			v.paths = make(map[string]*savorypath.Table)
 		}
-		t = &savorypath.Table{Zone: v.zone}
+		t = &savorypath.Table{Zone: v.zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 		v.paths[service] = t
 	}
 	return t
