--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -36,6 +36,9 @@
 	// Each counts with its whole answer from its start, so the memory in use is
 	// less.
 	fullAt = 1.1
+	// continuingAt is that part for streams that lost their chain: work was done
+	// for them, and their callers leave within two seconds.
+	continuingAt = 1.35
 	// hopCost is the time of a hop inside a zone.
 	hopCost = 200 * time.Microsecond
 	// unseenTime is the time in which peers' reports catch up with what they send.
@@ -46,10 +49,11 @@
 	// slotsAt is the part of an engine's slots up to which chains begin there;
 	// what peers send meanwhile takes the rest.
 	slotsAt = 0.9
-	// spread is the part by which costs are raised at random: entries that know
-	// the same loads would otherwise all choose the same engines until they hear
-	// of each other.
-	spread = 0.6
+	// spreadEach is the part for each entry by which costs are raised at random, up
+	// to spreadMost: entries that know the same loads would otherwise all choose
+	// the same engines until they hear of each other.
+	spreadEach = 0.01
+	spreadMost = 0.6
 	// acrossPart is the part of the bandwidth between zones that chains over
 	// several zones may take: all of them share it, and it may be slow.
 	acrossPart = 0.25
@@ -124,6 +128,8 @@
 	// Rand spreads the choices of many entries over engines of like cost; nil
 	// takes the cheapest.
 	Rand *rand.Rand
+	// Entries is the number of entries that choose paths; it may be changed.
+	Entries int
 
 	engine  *savoryrouting.Engine
 	engines []Engine
@@ -289,6 +295,8 @@
 	Avoid func(server string) bool
 	// First, if set, names the server that must be the first hop.
 	First string
+	// Continuing says that the request had begun on another path.
+	Continuing bool
 	// Across allows a chain over several zones where no zone has one.
 	Across bool
 }
@@ -395,10 +403,14 @@
 	// The time of a part grows with the fill, since a full engine preempts.
 	perLayer := t.passTime(e, l.Requests) * (1 + loadWeight*fill*fill*fill*fill)
 	if t.Rand != nil {
-		perLayer *= 1 + spread*t.Rand.Float64()
+		perLayer *= 1 + min(spreadMost, spreadEach*float64(t.Entries))*t.Rand.Float64()
 	}
 	wait := hopCost.Seconds() + waitPart*perLayer*float64(e.Holds.Count())
-	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > fullAt}
+	most := fullAt
+	if r.Continuing {
+		most = continuingAt
+	}
+	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > most}
 	if t.engine.Slots > 0 {
 		taken := float64(l.First+1) / float64(t.engine.Slots)
 		c.noFirst = taken > slotsAt
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -114,7 +114,7 @@
 	const entries = 7
 	tables := make([]*Table, entries)
 	for i := range tables {
-		tables[i] = &Table{Zone: "a", Rand: rand.New(rand.NewPCG(1, uint64(i)))}
+		tables[i] = &Table{Zone: "a", Entries: entries, Rand: rand.New(rand.NewPCG(1, uint64(i)))}
 		tables[i].SetEngines(m, []Engine{
 			engine(m, "f", "a", "fast", 0, 40), engine(m, "s1", "a", "slow", 0, 20), engine(m, "s2", "a", "slow", 20, 40),
 			engine(m, "x1", "a", "slow", 40, 60), engine(m, "x2", "a", "slow", 60, 80),
@@ -189,7 +189,7 @@
 	engines = append(engines, engine(m, "z", "a", "fast", 50, 80))
 	counts := make(map[string]int)
 	for i := range 60 {
-		table := &Table{Zone: "a", Rand: rand.New(rand.NewPCG(2, uint64(i)))}
+		table := &Table{Zone: "a", Entries: 60, Rand: rand.New(rand.NewPCG(2, uint64(i)))}
 		table.SetEngines(m, engines)
 		choice, err := table.Choose(Request{Tokens: 900}, begin)
 		is.NoErr(err)
@@ -202,3 +202,23 @@
 		is.True(counts[fmt.Sprint("y", i)] >= 5)
 	}
 }
+
+// Pattern: a chain is lost with its streams while new requests come. Where memory
+// is short the streams that had begun go first.
+func TestBegunStreamsGoFirst(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	table := &Table{Zone: "a"}
+	table.SetEngines(m, []Engine{engine(m, "f1", "a", "fast", 0, 40), engine(m, "f2", "a", "fast", 40, 80)})
+	for {
+		choice, err := table.Choose(Request{Tokens: 100}, begin)
+		if err != nil {
+			is.True(errors.Is(err, ErrFull))
+			break
+		}
+		table.Began(choice.Path, 100, begin)
+	}
+	choice, err := table.Choose(Request{Tokens: 100, Continuing: true}, begin)
+	is.NoErr(err)
+	is.NoErr(choice.Path.Check(80))
+}
--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -144,7 +144,9 @@
 	}
 }
 
-// explain prints what concerns a request.
+// explain prints what concerns a request: its own lines, and changes of belief
+// about the servers that it met. One that met none was refused for the state of
+// all of them.
 func explain(w io.Writer, id string, lines []logLine) error {
 	var own []logLine
 	vms := make(map[string]bool)
@@ -172,7 +174,7 @@
 	from, to := own[0].at.Add(-explainAround), own[len(own)-1].at.Add(explainAround)
 	shown := slices.Clone(own)
 	for _, l := range lines {
-		if l.request == "" && vms[l.vm] && l.at.After(from) && l.at.Before(to) && (servers[l.server] || l.concernsAll()) {
+		if l.request == "" && vms[l.vm] && l.at.After(from) && l.at.Before(to) && (l.server != "" && (servers[l.server] || len(servers) == 0) || l.concernsAll()) {
 			shown = append(shown, l)
 		}
 	}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -288,7 +288,9 @@
 // setBudgets divides the retries among the live entries.
 func (g *Gate) setBudgets() {
 	s := g.Settings()
-	slack := budgetPart * s.RetrySlack / float64(g.relay.live(g.now()))
+	live := g.relay.live(g.now())
+	g.view.setEntries(live)
+	slack := budgetPart * s.RetrySlack / float64(live)
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
 	if cfg := g.config(); cfg != nil {
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -171,7 +171,7 @@
 	g, a := w.a.g, w.a
 	first := path[0].Server
 	choice, err := g.view.choosePath(a.service.Name, savorypath.Request{
-		Tokens: a.tokens, First: first, Across: true, Avoid: func(id string) bool { return id == culprit },
+		Tokens: a.tokens, First: first, Continuing: true, Across: true, Avoid: func(id string) bool { return id == culprit },
 	}, g.now())
 	if err != nil {
 		a.log.WithError(err).WithField("server", culprit).Info("no chain to move to")
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -103,7 +103,7 @@
 func (s *stream) choose() (savorypath.Choice, error) {
 	for {
 		now := s.g.now()
-		r := savorypath.Request{Tokens: s.tokens, Across: true, Avoid: func(id string) bool { return s.avoid[id] }}
+		r := s.pathRequest()
 		choice, err := s.chooseFrom(r, now)
 		if err == nil {
 			s.decided(log.Fields{
@@ -123,6 +123,13 @@
 	}
 }
 
+// pathRequest returns what a chain is chosen for.
+func (s *stream) pathRequest() savorypath.Request {
+	return savorypath.Request{
+		Tokens: s.tokens, Continuing: s.count > 0, Across: true, Avoid: func(id string) bool { return s.avoid[id] },
+	}
+}
+
 // chooseFrom picks a chain, with a first engine that has the request already if
 // the route allows no further one.
 func (s *stream) chooseFrom(r savorypath.Request, now time.Time) (savorypath.Choice, error) {
@@ -131,6 +138,8 @@
 	}
 	var choice savorypath.Choice
 	err := savorypath.ErrNoPath
+	// These engines may be asked again, though they failed once.
+	r.Avoid = func(id string) bool { return s.avoid[id] && !s.firsts[id] }
 	for first := range s.firsts {
 		r.First = first
 		if choice, err = s.g.view.choosePath(s.service.Name, r, now); err == nil {
@@ -190,7 +199,7 @@
 	if !a.route.Resumable || a.sends >= streamSends || a.g.now().After(a.deadline) {
 		return false
 	}
-	choice, err := a.chooseFrom(savorypath.Request{Tokens: a.tokens, Across: true, Avoid: func(id string) bool { return a.avoid[id] }}, a.g.now())
+	choice, err := a.chooseFrom(a.pathRequest(), a.g.now())
 	if err != nil {
 		return false
 	}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -355,6 +355,15 @@
 	}
 }
 
+// setEntries takes the number of live entries.
+func (v *view) setEntries(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, t := range v.paths {
+		t.Entries = n
+	}
+}
+
 // listed reports whether a list was ever read.
 func (v *view) listed() bool {
 	v.mu.Lock()
