Let no move leave layers that nobody else serves, and let engines on their way arrive

The orderer goes on while the store is away for all entries, which it did not while peers had not noticed.

--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -105,10 +105,20 @@
 	n  int
 	// rooms is the request memory per unit in tokens, by number of units.
 	rooms []float64
-	// moved says that the run was changed in this call.
-	moved bool
+	// moved says that the run was changed in this call, transit that the engine
+	// does not hold its part yet.
+	moved   bool
+	transit bool
 }
 
+// holds reports whether the engine holds the layers of a unit now.
+func (r *run) holds(unit, size int) bool {
+	return r.Holds.From <= unit*size && (unit+1)*size <= r.Holds.To
+}
+
+// has reports whether the run has a unit.
+func (r *run) has(unit int) bool { return r.at <= unit && unit < r.at+r.n }
+
 // New returns a plan for engines that hold nothing. Engines of an unknown kind
 // are left out.
 func New(e *savoryrouting.Engine, engines []Engine) Plan {
@@ -311,6 +321,7 @@
 			continue
 		}
 		r.at, r.n = layers.From/p.unit, n
+		r.transit = layers != r.Holds
 	}
 	return free
 }
@@ -377,6 +388,9 @@
 	for count := 1; count <= r.most; count++ {
 		for first := 0; first+count <= p.units; first++ {
 			r.at, r.n = first, count
+			if p.leavesHole(runs, r) {
+				continue
+			}
 			if worth := p.worth(runs); worth > best {
 				best, bestAt, bestN = worth, first, count
 			}
@@ -386,6 +400,20 @@
 	return best - before
 }
 
+// leavesHole reports whether a run gives up a unit that no other engine serves
+// now and goes on serving: until the others have loaded it no chain would run.
+func (p *planner) leavesHole(runs []*run, r *run) bool {
+	for u := r.Holds.From / p.unit; u*p.unit < r.Holds.To; u++ {
+		if r.has(u) || !r.holds(u, p.unit) {
+			continue
+		}
+		if !slices.ContainsFunc(runs, func(q *run) bool { return q != r && q.has(u) && q.holds(u, p.unit) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // search moves engines while the worth of the group rises by more than cost, at
 // most moves times.
 func (p *planner) search(runs []*run, cost float64, moves int) {
@@ -393,7 +421,7 @@
 		var winner *run
 		bestGain, bestAt, bestN := max(cost, 1e-6), 0, 0
 		for _, r := range runs {
-			if r.moved && cost > 0 {
+			if (r.moved || r.transit) && cost > 0 {
 				continue
 			}
 			at, n := r.at, r.n
--- a/savorycore/savoryplacement/plan_test.go
+++ b/savorycore/savoryplacement/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -163,3 +164,47 @@
 	// 27 requests a second of a zone's callers for a second and a half.
 	is.True(slices.Min(rooms) >= 27*1.5*977)
 }
+
+// Pattern: engines are lost one after the other while others still load. No plan
+// takes an engine off layers that nobody else serves yet, or off its way.
+func TestMovesLeaveNoHole(t *testing.T) {
+	e := testEngine()
+	rapid.Check(t, func(t *rapid.T) {
+		engines := append(zoneOf("a", 1, 6, 5), zoneOf("b", 2, 2, 5)...)
+		slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+		plan := New(e, engines)
+		for i := range engines {
+			engines[i].Holds = plan.Layers[engines[i].ID]
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "losses") {
+			lost := rapid.IntRange(0, len(engines)-1).Draw(t, "lost")
+			engines = append(append([]Engine{}, engines[:lost]...), engines[lost+1:]...)
+			next := Extend(e, plan, engines)
+			for _, engine := range engines {
+				old, now := plan.Layers[engine.ID], next.Layers[engine.ID]
+				if old != engine.Holds && now != old {
+					t.Fatalf("%s is on its way from %s to %s and is sent to %s", engine.ID, engine.Holds, old, now)
+				}
+				// An engine that is on its way has its order already.
+				for l := engine.Holds.From; now != old && l < engine.Holds.To; l++ {
+					if now.From <= l && l < now.To {
+						continue
+					}
+					if !slices.ContainsFunc(engines, func(q Engine) bool {
+						kept := next.Layers[q.ID]
+						return q.Zone == engine.Zone && q.ID != engine.ID && q.Holds.From <= l && l < q.Holds.To && kept.From <= l && l < kept.To
+					}) {
+						t.Fatalf("%s leaves layer %d, which nobody else serves", engine.ID, l)
+					}
+				}
+			}
+			plan = next
+			// Some have loaded what they were ordered to hold.
+			for i := range engines {
+				if rapid.Bool().Draw(t, "loaded") {
+					engines[i].Holds = plan.Layers[engines[i].ID]
+				}
+			}
+		}
+	})
+}
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -26,6 +26,9 @@
 	// tenureParts divides the lease's time; the orderer acts for all parts but
 	// one and renews after one.
 	tenureParts = 3
+	// outageTime is how long the list must have been too old for any entry to
+	// wait, before the store counts as away for all: in it each reads itself.
+	outageTime = 400 * time.Millisecond
 	// ordersEvery is the interval of the orderer's rounds.
 	ordersEvery = 200 * time.Millisecond
 	// orderTimeout bounds the call of one order.
@@ -38,9 +41,13 @@
 
 // orderer is the state of an entry that gives orders.
 type orderer struct {
-	lease    savorystore.Lease
-	until    time.Time
-	renewAt  time.Time
+	lease   savorystore.Lease
+	until   time.Time
+	renewAt time.Time
+	// lostAt is the first failed renewal since the last answered one, outage is
+	// set while the orderer goes on without the store.
+	lostAt   time.Time
+	outage   bool
 	services map[string]*serviceOrders
 }
 
@@ -93,21 +100,18 @@
 			o.extend(lease, now)
 			return true
 		}
-		o.renewAt = now.Add(ordererTime / tenureParts)
+		if o.lostAt.IsZero() {
+			o.lostAt = now
+		}
+		o.renewAt = now.Add(ordersEvery)
 		switch {
 		case savorystore.LeaseGone(err):
 			g.loseTenure(o, err)
 			return false
 		case now.Before(o.until):
 			return true
-		case g.relay.storeHeard(now):
-			// Another entry reaches the store and may take the lease.
-			g.loseTenure(o, err)
-			return false
 		}
-		// The store is away for all: nobody can succeed, and engines still fail.
-		o.until = o.renewAt
-		return true
+		return g.outageTenure(o, now, err)
 	}
 	if g.relay.ordererHeard(now) || g.relay.rank(now) > 0 || now.Before(o.renewAt) {
 		return false
@@ -120,9 +124,32 @@
 	return true
 }
 
+// outageTenure decides whether to go on once the tenure has ended and the store
+// does not answer. If another entry has read the list since, the store is away
+// for this entry only, and a successor may take the lease. If all who are heard
+// have given up reading, nobody can succeed, and engines still fail. Between the
+// two no orders are given.
+func (g *Gate) outageTenure(o *orderer, now time.Time, err error) bool {
+	age := g.listAge()
+	switch {
+	case now.Add(-age).After(o.lostAt), g.relay.live(now) == 1:
+		g.loseTenure(o, err)
+		return false
+	case age < g.staleAge()+outageTime:
+		return false
+	}
+	if !o.outage {
+		o.outage = true
+		g.Log.WithField("listAgeMs", age.Milliseconds()).Info("orderer goes on while the store is away for all")
+	}
+	o.renewAt = now.Add(ordererTime / tenureParts)
+	o.until = o.renewAt
+	return true
+}
+
 // extend counts the tenure from before the call that granted or renewed it.
 func (o *orderer) extend(lease savorystore.Lease, from time.Time) {
-	o.lease = lease
+	o.lease, o.lostAt, o.outage = lease, time.Time{}, false
 	o.until = from.Add(lease.TTL * (tenureParts - 1) / tenureParts)
 	o.renewAt = from.Add(lease.TTL / tenureParts)
 }
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -174,11 +174,6 @@
 	return r.any(now, func(p *relayPeer) bool { return p.orderer })
 }
 
-// storeHeard reports whether a live peer reaches the store.
-func (r *relay) storeHeard(now time.Time) bool {
-	return r.any(now, func(p *relayPeer) bool { return p.storeWorks })
-}
-
 func (r *relay) any(now time.Time, is func(*relayPeer) bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
