--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -170,7 +170,7 @@
 // answers to earlier requests of the connection.
 func (a *Answer) read(req *http.Request, r *Request) error {
 	for range maxForeign {
-		resp, err := readResponse(a.conn.br, req)
+		resp, err := readResponse(a.conn.br, req) //nolint:bodyclose // the connection is kept or closed by Answer.Close
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/savorycore/savorypath/gaps.go
@@ -0,0 +1,50 @@
+package savorypath
+
+// This file says why there is no path.
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Gaps says for each zone which layers no usable engine holds, and which are
+// held by full engines only, for the log.
+func (t *Table) Gaps(r Request, now time.Time) string {
+	if t.engine == nil {
+		return "no engine service"
+	}
+	const lacking, full, free = 0, 1, 2
+	zones := make(map[string][]int)
+	for i := range t.engines {
+		e := &t.engines[i]
+		if zones[e.Zone] == nil {
+			zones[e.Zone] = make([]int, t.engine.Layers)
+		}
+		if e.Kind == nil || r.Avoid != nil && r.Avoid(e.ID) {
+			continue
+		}
+		state := free
+		if t.candidate(e, r, now).full {
+			state = full
+		}
+		for l := e.Holds.From; l < min(e.Holds.To, t.engine.Layers); l++ {
+			zones[e.Zone][l] = max(zones[e.Zone][l], state)
+		}
+	}
+	var parts []string
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		counts := [3]int{}
+		first := [3]int{-1, -1, -1}
+		for l, state := range zones[zone] {
+			counts[state]++
+			if first[state] < 0 {
+				first[state] = l
+			}
+		}
+		parts = append(parts, fmt.Sprintf("%s:lacks=%d@%d,full=%d@%d", zone, counts[lacking], first[lacking], counts[full], first[full]))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/savorycore/savorypath/path.go
@@ -0,0 +1,58 @@
+package savorypath
+
+// This file defines Path, a chain of engines.
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// Hop is one part of a chain.
+type Hop struct {
+	Server  string
+	Address netip.AddrPort
+	Layers  savoryworld.LayerRange
+}
+
+// Path is a chain of engines that covers all layers in order.
+type Path []Hop
+
+// String lists the hops for the log.
+func (p Path) String() string {
+	var b strings.Builder
+	for i, h := range p {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", h.Server, h.Layers.From, h.Layers.To)
+	}
+	return b.String()
+}
+
+// Uses reports whether the server is part of the path.
+func (p Path) Uses(server string) bool {
+	return slices.ContainsFunc(p, func(h Hop) bool { return h.Server == server })
+}
+
+// MaxHops is the most engines of one chain; engines refuse longer ones.
+const MaxHops = 32
+
+// Check returns an error unless the path covers layers 0 to layers-1 once and
+// in order.
+func (p Path) Check(layers int) error {
+	next := 0
+	for _, h := range p {
+		if h.Layers.From != next || h.Layers.Empty() {
+			return fmt.Errorf("path %s: layer %d does not follow", p, next)
+		}
+		next = h.Layers.To
+	}
+	if next != layers {
+		return fmt.Errorf("path %s: ends at layer %d of %d", p, next, layers)
+	}
+	return nil
+}
--- /dev/null
+++ b/savorycore/savorypath/search.go
@@ -0,0 +1,120 @@
+package savorypath
+
+// This file finds the cheapest path over the borders of the layers that engines
+// hold.
+
+import (
+	"math"
+	"slices"
+
+	"savorycart.example/savorycore/savoryworld"
+)
+
+// state is the cheapest way from a layer to the end.
+type state struct {
+	cost float64
+	use  int
+	to   int
+}
+
+// search returns the cheapest path over candidates that are not full, its cost
+// in seconds and its fill. Between zones each hop costs farCost; from is the
+// zone of the entry, or "" if all candidates are of one zone.
+func (t *Table) search(candidates []candidate, r Request, from string) (Path, float64, float64) {
+	layers := t.engine.Layers
+	var borders []int
+	for _, c := range candidates {
+		borders = append(borders, c.Holds.From, c.Holds.To)
+	}
+	borders = append(borders, 0, layers)
+	slices.Sort(borders)
+	borders = slices.Compact(borders)
+	// best[i][j] is the cheapest way from border i on if candidate j holds the
+	// layers after it.
+	best := make([][]state, len(borders))
+	for i := range best {
+		best[i] = make([]state, len(candidates))
+	}
+	for i := len(borders) - 1; i >= 0; i-- {
+		for j := range candidates {
+			best[i][j] = t.step(candidates, best, borders, i, j)
+		}
+	}
+	first, cost := firstOf(candidates, best[0], r, from)
+	if first < 0 {
+		return nil, 0, 0
+	}
+	return follow(candidates, best, borders, first, layers, cost)
+}
+
+// firstOf returns the candidate with which the cheapest path begins and its cost;
+// -1 for none. ways are the cheapest ways from layer 0.
+func firstOf(candidates []candidate, ways []state, r Request, from string) (int, float64) {
+	first, cost := -1, math.Inf(1)
+	for j, c := range candidates {
+		s := ways[j].cost + c.first
+		if r.First != "" && c.ID != r.First || r.First == "" && c.noFirst {
+			continue
+		}
+		if from != "" && c.Zone != from {
+			s += farCost.Seconds()
+		}
+		if s < cost {
+			first, cost = j, s
+		}
+	}
+	return first, cost
+}
+
+// step returns the cheapest way from border i if candidate j is used next.
+func (t *Table) step(candidates []candidate, best [][]state, borders []int, i, j int) state {
+	c := &candidates[j]
+	none := state{cost: math.Inf(1), use: -1}
+	if c.full || borders[i] < c.Holds.From || borders[i] >= c.Holds.To {
+		return none
+	}
+	result := none
+	for k := i + 1; k < len(borders) && borders[k] <= c.Holds.To; k++ {
+		own := c.perLayer*float64(borders[k]-borders[i]) + c.wait
+		if borders[k] == t.engine.Layers {
+			if own < result.cost {
+				result = state{cost: own, use: -1, to: k}
+			}
+			continue
+		}
+		for n := range candidates {
+			if n == j {
+				continue
+			}
+			cost := own + best[k][n].cost
+			if candidates[n].Zone != c.Zone {
+				cost += farCost.Seconds()
+			}
+			if cost < result.cost {
+				result = state{cost: cost, use: n, to: k}
+			}
+		}
+	}
+	return result
+}
+
+// follow builds the path that begins with candidate j. A path that would use an
+// engine twice is refused.
+func follow(candidates []candidate, best [][]state, borders []int, j, layers int, cost float64) (Path, float64, float64) {
+	var path Path
+	fill := 0.0
+	for i := 0; borders[i] < layers; {
+		s := best[i][j]
+		c := candidates[j]
+		if path.Uses(c.ID) || len(path) == MaxHops {
+			return nil, 0, 0
+		}
+		path = append(path, Hop{Server: c.ID, Address: c.Address, Layers: savoryworld.LayerRange{From: borders[i], To: borders[s.to]}})
+		fill = max(fill, c.fill)
+		i, j = s.to, s.use
+		if j < 0 {
+			break
+		}
+	}
+	return path, cost, fill
+}
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -12,13 +12,9 @@
 
 import (
 	"errors"
-	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"savorycart.example/savorycore/savoryrouting"
@@ -82,33 +78,6 @@
 	Slow float64
 }
 
-// Hop is one part of a chain.
-type Hop struct {
-	Server  string
-	Address netip.AddrPort
-	Layers  savoryworld.LayerRange
-}
-
-// Path is a chain of engines that covers all layers in order.
-type Path []Hop
-
-// String lists the hops for the log.
-func (p Path) String() string {
-	var b strings.Builder
-	for i, h := range p {
-		if i > 0 {
-			b.WriteByte(',')
-		}
-		fmt.Fprintf(&b, "%s=%d-%d", h.Server, h.Layers.From, h.Layers.To)
-	}
-	return b.String()
-}
-
-// Uses reports whether the server is part of the path.
-func (p Path) Uses(server string) bool {
-	return slices.ContainsFunc(p, func(h Hop) bool { return h.Server == server })
-}
-
 // Load is what one entry has in flight at an engine.
 type Load struct {
 	Server string
@@ -327,9 +296,30 @@
 	if t.engine == nil || t.engine.Layers == 0 {
 		return Choice{}, ErrNoPath
 	}
-	byZone := make(map[string][]candidate)
-	var all []candidate
-	full := false
+	all, byZone, full := t.candidates(r, now)
+	best, cost := t.inOneZone(byZone, r)
+	if best.Path == nil && r.Across && t.acrossFree(r.Tokens, now) {
+		path, c, fill := t.search(all, r, t.Zone)
+		best, cost = Choice{Path: path, Fill: fill}, c
+	}
+	switch {
+	case best.Path == nil && full:
+		return Choice{}, ErrFull
+	case best.Path == nil:
+		return Choice{}, ErrNoPath
+	}
+	if t.pass == 0 {
+		t.pass = cost
+	}
+	t.pass += passSmoothing * (cost - t.pass)
+	best.Pass = time.Duration(cost * float64(time.Second))
+	return best, nil
+}
+
+// candidates returns the usable engines, all and by zone, and whether any is
+// full.
+func (t *Table) candidates(r Request, now time.Time) (all []candidate, byZone map[string][]candidate, full bool) {
+	byZone = make(map[string][]candidate)
 	for i := range t.engines {
 		e := &t.engines[i]
 		if e.Holds.Empty() || e.Kind == nil || r.Avoid != nil && r.Avoid(e.ID) {
@@ -340,8 +330,12 @@
 		byZone[e.Zone] = append(byZone[e.Zone], c)
 		all = append(all, c)
 	}
-	best, cost := Choice{}, math.Inf(1)
-	zones := 0
+	return all, byZone, full
+}
+
+// inOneZone returns the cheapest path inside one zone and its cost in seconds.
+func (t *Table) inOneZone(byZone map[string][]candidate, r Request) (Choice, float64) {
+	best, cost, zones := Choice{}, math.Inf(1), 0
 	for zone, candidates := range byZone {
 		path, c, fill := t.search(candidates, r, "")
 		if path == nil {
@@ -355,23 +349,8 @@
 			best, cost = Choice{Path: path, Fill: fill}, c
 		}
 	}
-	if best.Path == nil && r.Across && t.acrossFree(r.Tokens, now) {
-		path, c, fill := t.search(all, r, t.Zone)
-		best, cost = Choice{Path: path, Fill: fill}, c
-	}
-	if best.Path == nil {
-		if full {
-			return Choice{}, ErrFull
-		}
-		return Choice{}, ErrNoPath
-	}
 	best.Zones = zones
-	if t.pass == 0 {
-		t.pass = cost
-	}
-	t.pass += passSmoothing * (cost - t.pass)
-	best.Pass = time.Duration(cost * float64(time.Second))
-	return best, nil
+	return best, cost
 }
 
 // farEntry is the cost of beginning a chain in another zone than the entry's:
@@ -447,167 +426,3 @@
 	reading := float64(n) / answer * read * part
 	return pass / float64(m.Layers) / (1 - min(mostReading, reading))
 }
-
-// state is the cheapest way from a layer to the end.
-type state struct {
-	cost float64
-	use  int
-	to   int
-}
-
-// search returns the cheapest path over candidates that are not full, its cost
-// in seconds and its fill. Between zones each hop costs farCost; from is the
-// zone of the entry, or "" if all candidates are of one zone.
-func (t *Table) search(candidates []candidate, r Request, from string) (Path, float64, float64) {
-	layers := t.engine.Layers
-	var borders []int
-	for _, c := range candidates {
-		borders = append(borders, c.Holds.From, c.Holds.To)
-	}
-	borders = append(borders, 0, layers)
-	slices.Sort(borders)
-	borders = slices.Compact(borders)
-	// best[i][j] is the cheapest way from border i on if candidate j holds the
-	// layers after it.
-	at := make(map[int]int, len(borders))
-	for i, b := range borders {
-		at[b] = i
-	}
-	best := make([][]state, len(borders))
-	for i := range best {
-		best[i] = make([]state, len(candidates))
-	}
-	for i := len(borders) - 1; i >= 0; i-- {
-		for j := range candidates {
-			best[i][j] = t.step(candidates, best, borders, at, i, j)
-		}
-	}
-	first, cost := -1, math.Inf(1)
-	for j, c := range candidates {
-		s := best[0][j].cost + c.first
-		if r.First != "" && c.ID != r.First || r.First == "" && c.noFirst {
-			continue
-		}
-		if from != "" && c.Zone != from {
-			s += farCost.Seconds()
-		}
-		if s < cost {
-			first, cost = j, s
-		}
-	}
-	if first < 0 {
-		return nil, 0, 0
-	}
-	return follow(candidates, best, borders, first, layers, cost)
-}
-
-// step returns the cheapest way from border i if candidate j is used next.
-func (t *Table) step(candidates []candidate, best [][]state, borders []int, at map[int]int, i, j int) state {
-	c := &candidates[j]
-	none := state{cost: math.Inf(1), use: -1}
-	if c.full || borders[i] < c.Holds.From || borders[i] >= c.Holds.To {
-		return none
-	}
-	result := none
-	for k := i + 1; k < len(borders) && borders[k] <= c.Holds.To; k++ {
-		own := c.perLayer*float64(borders[k]-borders[i]) + c.wait
-		if borders[k] == t.engine.Layers {
-			if own < result.cost {
-				result = state{cost: own, use: -1, to: k}
-			}
-			continue
-		}
-		for n := range candidates {
-			if n == j {
-				continue
-			}
-			cost := own + best[k][n].cost
-			if candidates[n].Zone != c.Zone {
-				cost += farCost.Seconds()
-			}
-			if cost < result.cost {
-				result = state{cost: cost, use: n, to: k}
-			}
-		}
-	}
-	return result
-}
-
-// follow builds the path that begins with candidate j. A path that would use an
-// engine twice is refused.
-func follow(candidates []candidate, best [][]state, borders []int, j, layers int, cost float64) (Path, float64, float64) {
-	var path Path
-	fill := 0.0
-	for i := 0; borders[i] < layers; {
-		s := best[i][j]
-		c := candidates[j]
-		if path.Uses(c.ID) || len(path) == MaxHops {
-			return nil, 0, 0
-		}
-		path = append(path, Hop{Server: c.ID, Address: c.Address, Layers: savoryworld.LayerRange{From: borders[i], To: borders[s.to]}})
-		fill = max(fill, c.fill)
-		i, j = s.to, s.use
-		if j < 0 {
-			break
-		}
-	}
-	return path, cost, fill
-}
-
-// MaxHops is the most engines of one chain; engines refuse longer ones.
-const MaxHops = 32
-
-// Check returns an error unless the path covers layers 0 to layers-1 once and
-// in order.
-func (p Path) Check(layers int) error {
-	next := 0
-	for _, h := range p {
-		if h.Layers.From != next || h.Layers.Empty() {
-			return fmt.Errorf("path %s: layer %d does not follow", p, next)
-		}
-		next = h.Layers.To
-	}
-	if next != layers {
-		return fmt.Errorf("path %s: ends at layer %d of %d", p, next, layers)
-	}
-	return nil
-}
-
-// Gaps says for each zone which layers no usable engine holds, and which are
-// held by full engines only, for the log.
-func (t *Table) Gaps(r Request, now time.Time) string {
-	if t.engine == nil {
-		return "no engine service"
-	}
-	const lacking, full, free = 0, 1, 2
-	zones := make(map[string][]int)
-	for i := range t.engines {
-		e := &t.engines[i]
-		if zones[e.Zone] == nil {
-			zones[e.Zone] = make([]int, t.engine.Layers)
-		}
-		if e.Kind == nil || r.Avoid != nil && r.Avoid(e.ID) {
-			continue
-		}
-		state := free
-		if t.candidate(e, r, now).full {
-			state = full
-		}
-		for l := e.Holds.From; l < min(e.Holds.To, t.engine.Layers); l++ {
-			zones[e.Zone][l] = max(zones[e.Zone][l], state)
-		}
-	}
-	var parts []string
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		counts := [3]int{}
-		first := [3]int{-1, -1, -1}
-		for l, state := range zones[zone] {
-			counts[state]++
-			if first[state] < 0 {
-				first[state] = l
-			}
-		}
-		parts = append(parts, fmt.Sprintf("%s:lacks=%d@%d,full=%d@%d", zone, counts[lacking], first[lacking], counts[full], first[full]))
-	}
-	return strings.Join(parts, " ")
-}
--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -95,27 +95,15 @@
 // run at once than the weight store carries at full speed.
 func (o *Orderer) Orders(e *savoryrouting.Engine, servers []savoryroster.Server, failing map[string]bool, now time.Time) []Order {
 	held := heldLayers(e, servers, failing)
-	loading, serving := 0, false
-	for _, s := range servers {
-		p, ok := o.pending[s.ID]
-		waits := ok && p.born.Equal(s.Born) && s.Holds != o.plan.Layers[s.ID] && now.Sub(p.at) < orderPause
-		if waits || s.Busy {
-			loading++
-		}
-		serving = serving || !s.Holds.Empty()
-	}
+	loading, serving := o.loading(servers, now)
 	var orders []Order
 	for _, s := range servers {
-		want, ok := o.plan.Layers[s.ID]
-		if !ok || want.Empty() || s.Holds == want || s.Leaving || s.Busy {
-			continue
-		}
-		p, ok := o.pending[s.ID]
-		if ok && p.born.Equal(s.Born) && now.Sub(p.at) < orderPause {
+		want := o.plan.Layers[s.ID]
+		if want.Empty() || s.Holds == want || s.Leaving || s.Busy || o.Moving(s, now) {
 			continue
 		}
 		if serving && e.LoadsAtOnce > 0 && loading >= e.LoadsAtOnce {
-			continue
+			break
 		}
 		loading++
 		o.pending[s.ID] = pendingOrder{born: s.Born, at: now}
@@ -124,6 +112,18 @@
 	return orders
 }
 
+// loading counts the engines that load on order, and reports whether any engine
+// holds layers.
+func (o *Orderer) loading(servers []savoryroster.Server, now time.Time) (n int, serving bool) {
+	for _, s := range servers {
+		if s.Busy || o.Moving(s, now) && s.Holds != o.plan.Layers[s.ID] {
+			n++
+		}
+		serving = serving || !s.Holds.Empty()
+	}
+	return n, serving
+}
+
 // heldLayers returns for each zone which layers a usable engine holds.
 func heldLayers(e *savoryrouting.Engine, servers []savoryroster.Server, failing map[string]bool) map[string][]bool {
 	held := make(map[string][]bool)
--- a/savorycore/savoryplacement/plan_test.go
+++ b/savorycore/savoryplacement/plan_test.go
@@ -10,7 +10,9 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 // testEngine is a model of 80 layers on three kinds of accelerators.
@@ -208,3 +210,41 @@
 		}
 	})
 }
+
+// Orders: all at once before anything serves, then as many as load at full speed;
+// an urgent one says that nobody else in the zone holds its layers.
+func TestOrders(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	engines := zoneOf("a", 1, 6, 5)
+	var o Orderer
+	o.Resume(Plan{})
+	is.True(!o.Replan(e, engines, now)) // more may register
+	now = now.Add(settleTime)
+	is.True(o.Replan(e, engines, now))
+	var servers []savoryroster.Server
+	for _, engine := range engines {
+		servers = append(servers, savoryroster.Server{ID: engine.ID, Zone: "a", Born: now})
+	}
+	first := o.Orders(e, servers, nil, now)
+	is.Equal(len(first), len(engines))
+	is.Equal(len(o.Orders(e, servers, nil, now.Add(orderPause/2))), 0) // unanswered orders are not repeated at once
+	for i := range servers {
+		servers[i].Holds = o.Plan().Layers[servers[i].ID]
+		engines[i].Holds = servers[i].Holds
+	}
+	is.True(!o.Replan(e, engines, now.Add(time.Second))) // nothing changes
+	// Another orderer goes on with the plan and moves nothing.
+	var successor Orderer
+	successor.Resume(o.Plan())
+	is.True(!successor.Replan(e, engines, now.Add(time.Second)))
+	is.Equal(len(successor.Orders(e, servers, nil, now.Add(time.Second))), 0)
+	// All restart empty but one: loads are bounded, and urgent.
+	for i := range servers[1:] {
+		servers[i+1].Holds, servers[i+1].Born = savoryworld.LayerRange{}, now.Add(time.Minute)
+	}
+	again := o.Orders(e, servers, nil, now.Add(time.Minute))
+	is.Equal(len(again), e.LoadsAtOnce)
+	is.True(again[0].Urgent)
+}
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -117,6 +117,12 @@
 	at   time.Time
 }
 
+// covers reports whether a listed state is of the incarnation that left: an older
+// list, or a server that only says that it leaves.
+func (g goneServer) covers(s Server) bool {
+	return s.Born.Before(g.born) || s.Born.Equal(g.born) && (s.Beat <= g.beat || s.Leaving)
+}
+
 // Broken records that the store could not be read: entries may lapse.
 func (r *Roster) Broken() { r.broken = true }
 
@@ -175,8 +181,7 @@
 func (r *Roster) take(s Server, now time.Time) (Change, bool) {
 	known := r.servers[s.ID]
 	if known == nil {
-		if g, ok := r.gone[s.ID]; ok && (s.Born.Before(g.born) || s.Born.Equal(g.born) && (s.Beat <= g.beat || s.Leaving)) {
-			// An older list, or a server that only says that it leaves.
+		if g, ok := r.gone[s.ID]; ok && g.covers(s) {
 			return Change{}, false
 		}
 		r.servers[s.ID] = &entry{Server: s, beatAt: now}
@@ -194,9 +199,7 @@
 		known.Server = s
 		return Change{Server: s, What: "restarted"}, true
 	}
-	if before.Leaving {
-		s.Leaving = true
-	}
+	s.Leaving = s.Leaving || before.Leaving
 	if before.reportOutlives(s) {
 		s.Holds, s.Busy, s.Orders, s.ReportedBeat = before.Holds, before.Busy, before.Orders, before.ReportedBeat
 	}
@@ -213,7 +216,7 @@
 // Holds records what an engine itself reported.
 func (r *Roster) Holds(id string, born time.Time, orders int64, holds savoryworld.LayerRange, busy bool) {
 	if e := r.servers[id]; e != nil && e.Born.Equal(born) {
-		e.Server.Holds, e.Busy, e.Orders, e.ReportedBeat = holds, busy, orders, e.Beat
+		e.Holds, e.Busy, e.Orders, e.ReportedBeat = holds, busy, orders, e.Beat
 	}
 }
 
--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -144,37 +144,58 @@
 	}
 }
 
-// explain prints what concerns a request: its own lines, and changes of belief
-// about the servers that it met. One that met none was refused for the state of
-// all of them.
-func explain(w io.Writer, id string, lines []logLine) error {
-	var own []logLine
-	vms := make(map[string]bool)
-	servers := make(map[string]bool)
+// life is what logs say of one request.
+type life struct {
+	// own are its lines in order of time.
+	own []logLine
+	// vms and servers are those that it met.
+	vms     map[string]bool
+	servers map[string]bool
+}
+
+// lifeOf collects the lines of a request.
+func lifeOf(id string, lines []logLine) life {
+	f := life{vms: make(map[string]bool), servers: make(map[string]bool)}
 	for _, l := range lines {
 		if l.request != id {
 			continue
 		}
-		own = append(own, l)
-		vms[l.vm] = true
+		f.own = append(f.own, l)
+		f.vms[l.vm] = true
 		if l.server != "" {
-			servers[l.server] = true
+			f.servers[l.server] = true
 		}
 		for _, part := range strings.Split(l.path, ",") {
 			if server, _, ok := strings.Cut(part, "="); ok {
-				servers[server] = true
+				f.servers[server] = true
 			}
 		}
 	}
-	if len(own) == 0 {
+	slices.SortStableFunc(f.own, byTime)
+	return f
+}
+
+func byTime(a, b logLine) int { return a.at.Compare(b.at) }
+
+// concerned reports whether a line of another matter tells of a change that the
+// request met. One that met no server was refused for the state of all of them.
+func (f *life) concerned(l logLine) bool {
+	from, to := f.own[0].at.Add(-explainAround), f.own[len(f.own)-1].at.Add(explainAround)
+	if l.request != "" || !f.vms[l.vm] || l.at.Before(from) || l.at.After(to) {
+		return false
+	}
+	return l.concernsAll() || l.server != "" && (f.servers[l.server] || len(f.servers) == 0)
+}
+
+// explain prints a request's own lines, the changes that it met, and its cause.
+func explain(w io.Writer, id string, lines []logLine) error {
+	f := lifeOf(id, lines)
+	if len(f.own) == 0 {
 		return fmt.Errorf("no line tells of request %q; successes are sampled, failures are not", id)
 	}
-	byTime := func(a, b logLine) int { return a.at.Compare(b.at) }
-	slices.SortStableFunc(own, byTime)
-	from, to := own[0].at.Add(-explainAround), own[len(own)-1].at.Add(explainAround)
-	shown := slices.Clone(own)
+	shown := slices.Clone(f.own)
 	for _, l := range lines {
-		if l.request == "" && vms[l.vm] && l.at.After(from) && l.at.Before(to) && (l.server != "" && (servers[l.server] || len(servers) == 0) || l.concernsAll()) {
+		if f.concerned(l) {
 			shown = append(shown, l)
 		}
 	}
@@ -184,10 +205,9 @@
 		if l.request == id {
 			mark = "*"
 		}
-		fmt.Fprintf(w, "%s %8.3f s %s %s\n", mark, l.at.Sub(own[0].at).Seconds(), l.vm, withoutTime(l.text))
+		fmt.Fprintf(w, "%s %8.3f s %s %s\n", mark, l.at.Sub(f.own[0].at).Seconds(), l.vm, withoutTime(l.text))
 	}
-	last := own[len(own)-1]
-	_, err := fmt.Fprintf(w, "cause: %s\n", cause(last))
+	_, err := fmt.Fprintf(w, "cause: %s\n", cause(f.own[len(f.own)-1]))
 	return err
 }
 
