--- /dev/null
+++ b/savorycore/savorylog/bounded_test.go
@@ -0,0 +1,55 @@
+package savorylog
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuck is an output that never drains.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Writers are never blocked, whatever the output does, and lost lines are
+// counted.
+func TestOutputThatDoesNotDrain(t *testing.T) {
+	is := is.New(t)
+	out := stuck{make(chan struct{})}
+	b := &Bounded{W: out, Lines: 4, BytesPerSecond: 1 << 20, Burst: 1 << 20}
+	done, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- b.Run(done) }()
+	began := time.Now()
+	for range 100 {
+		_, err := b.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	is.True(time.Since(began) < time.Second)
+	is.True(b.Dropped() >= 90)
+	close(out.release)
+	close(done)
+	is.NoErr(<-ended)
+}
+
+// The volume is bounded, and what was dropped is told.
+func TestVolumeIsBounded(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	b := &Bounded{W: &out, Lines: 1000, BytesPerSecond: 100, Burst: 1000}
+	line := []byte(strings.Repeat("x", 99) + "\n")
+	for range 50 {
+		_, err := b.Write(line)
+		is.NoErr(err)
+	}
+	done := make(chan struct{})
+	close(done)
+	is.NoErr(b.Run(done))
+	is.True(out.Len() <= 1100)
+	is.True(b.Dropped() >= 39)
+}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -269,6 +269,9 @@
 		now := g.now()
 		g.servers.Sweep(now)
 		g.setBudgets()
+		for state, n := range g.view.counts(now) {
+			g.metrics.servers.WithLabelValues(state).Set(float64(n))
+		}
 		cfg := g.config()
 		if cfg == nil || cfg.Limits.IdleTimeout <= 0 {
 			continue
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -355,6 +355,24 @@
 	}
 }
 
+// counts returns the number of listed servers by state.
+func (v *view) counts(now time.Time) map[string]int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := map[string]int{"usable": 0, "leaving": 0, "avoided": 0}
+	for _, s := range v.roster.All() {
+		switch {
+		case s.Leaving:
+			n["leaving"]++
+		case v.health.Avoided(s.ID, now):
+			n["avoided"]++
+		default:
+			n["usable"]++
+		}
+	}
+	return n
+}
+
 // setEntries takes the number of live entries.
 func (v *view) setEntries(n int) {
 	v.mu.Lock()
