Guard what a stalled stream's watch reads, and keep the books of moved streams

Cause, found by reading: the watch of an attempt read maps that the stream wrote, which may end the process, and a move that finished after its attempt left its new path in the load for good and took the old one off twice. Test: TestManyStreamsOutliveEngines under the race detector, with the loads at zero afterwards.

--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -21,6 +21,7 @@
 
 	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savorylimit"
+	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savorystore"
@@ -425,5 +426,8 @@
 	g.relay.learn(found, g.now())
 }
 
+// Loads returns what the entry has in flight at engines.
+func (g *Gate) Loads() []savorypath.Load { return g.view.ownLoads() }
+
 // InFlight returns the number of requests in flight.
 func (g *Gate) InFlight() int64 { return g.flights.Load() }
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,9 @@
 	lastAt time.Time
 	events bool
 	ended  bool
+	// moving is set while the stream is moved: an engine that leaves and one that
+	// stalls may ask for it at once.
+	moving bool
 }
 
 func newStallWatch(ctx context.Context, a *attempt) *stallWatch {
@@ -142,11 +146,11 @@
 	a.log.WithFields(log.Fields{
 		"server": culprit, "namedBy": first.Server, "avoidedMs": until.Sub(g.now()).Milliseconds(),
 	}).Info("engine stalls the stream")
-	if culprit == first.Server || !w.move(path, culprit) {
-		w.giveUp()
-		return false
+	if culprit != first.Server && w.move(path, culprit) {
+		return true
 	}
-	return true
+	w.giveUp()
+	return false
 }
 
 // resumed reports whether an event came while the stream was looked at: this
@@ -160,7 +164,7 @@
 // giveUp ends the attempt if the stream can go on elsewhere. Otherwise it goes
 // on waiting: the engine may still answer, and nothing better is at hand.
 func (w *stallWatch) giveUp() {
-	if !w.resumed(lookLeast) && w.a.canGoOn() {
+	if !w.resumed(lookLeast) && !w.isMoving() && w.a.canGoOn() {
 		w.a.cancel(errStalled)
 	}
 }
@@ -168,6 +172,10 @@
 // move lets the stream go on over other engines; those that stay keep its
 // memory.
 func (w *stallWatch) move(path savorypath.Path, culprit string) bool {
+	if !w.beginMove(path) {
+		return false
+	}
+	defer w.endMove()
 	g, a := w.a.g, w.a
 	first := path[0].Server
 	choice, err := g.view.choosePath(a.service.Name, savorypath.Request{
@@ -191,13 +199,50 @@
 		release()
 		return false
 	}
-	w.mu.Lock()
-	w.path = choice.Path
-	w.mu.Unlock()
+	if !w.replacePath(choice.Path) {
+		// The attempt ended meanwhile and took its path off the load itself.
+		release()
+		return false
+	}
 	g.view.endPath(a.service.Name, path, a.tokens)
 	return true
 }
 
+// replacePath notes the path that a running attempt was moved to.
+func (w *stallWatch) replacePath(path savorypath.Path) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return false
+	}
+	w.path = path
+	return true
+}
+
+// beginMove reports whether the stream may be moved off path now.
+func (w *stallWatch) beginMove(path savorypath.Path) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moving || w.ended || !slices.Equal(w.path, path) {
+		return false
+	}
+	w.moving = true
+	return true
+}
+
+// isMoving reports whether the stream is being moved.
+func (w *stallWatch) isMoving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moving
+}
+
+func (w *stallWatch) endMove() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moving = false
+}
+
 // streams knows the attempts that run, by the engines of their chains.
 type streams struct {
 	mu  sync.Mutex
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,14 +39,18 @@
 	events eventBuffer
 	// tokens is the memory that the request is expected to take.
 	tokens int
+	// lastAt is the time of the last event, or of the request.
+	lastAt time.Time
+	header bool
+
+	// mu guards what the watch of a stalled attempt reads as well.
+	mu sync.Mutex
 	// firsts are the first engines of the chains that may have run it.
 	firsts map[string]bool
 	// avoid are engines that failed for this request.
 	avoid map[string]bool
-	// lastAt is the time of the last event, or of the request.
-	lastAt time.Time
-	count  int
-	header bool
+	// count is the number of events so far.
+	count int
 	// retry is a retry that was taken from the budget before the attempt was
 	// given up.
 	retry atomic.Bool
@@ -57,15 +63,13 @@
 func (c *call) stream() {
 	s := &stream{call: c, firsts: make(map[string]bool), avoid: make(map[string]bool), lastAt: c.began}
 	s.tokens = s.expectedTokens()
-	var last *attempt
 	for {
 		choice, err := s.choose()
 		if err != nil {
-			s.noPath(err, last)
+			s.noPath(err)
 			return
 		}
 		a := &attempt{stream: s, path: choice.Path, choice: choice}
-		last = a
 		a.run()
 		if a.done {
 			c.ended("answered", nil)
@@ -108,7 +112,7 @@
 		if err == nil {
 			s.decided(log.Fields{
 				"path": choice.Path.String(), "passMs": choice.Pass.Milliseconds(), "fill": int(100 * choice.Fill), "zones": choice.Zones,
-				"tokens": s.tokens, "avoided": len(s.avoid),
+				"tokens": s.tokens, "sends": s.sends,
 			}, "chain chosen")
 			return choice, nil
 		}
@@ -125,22 +129,57 @@
 
 // pathRequest returns what a chain is chosen for.
 func (s *stream) pathRequest() savorypath.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	avoid := maps.Clone(s.avoid)
 	return savorypath.Request{
-		Tokens: s.tokens, Continuing: s.count > 0, Across: true, Avoid: func(id string) bool { return s.avoid[id] },
+		Tokens: s.tokens, Continuing: s.count > 0, Across: true, Avoid: func(id string) bool { return avoid[id] },
 	}
 }
 
+// avoids keeps an engine out of the further chains of the request.
+func (s *stream) avoids(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid[id] = true
+}
+
+// countSend counts a send and returns their number.
+func (s *stream) countSend() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sends++
+	return s.sends
+}
+
+// ranFrom notes that a chain with this first engine may have run the request.
+func (s *stream) ranFrom(id string) {
+	s.mayHaveRun = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firsts[id] = true
+}
+
+// begun returns the first engines of the chains that may have run the request.
+func (s *stream) begun() map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.firsts)
+}
+
 // chooseFrom picks a chain, with a first engine that has the request already if
 // the route allows no further one.
 func (s *stream) chooseFrom(r savorypath.Request, now time.Time) (savorypath.Choice, error) {
-	if len(s.firsts) < max(1, s.route.Attempts) {
+	firsts := s.begun()
+	if len(firsts) < max(1, s.route.Attempts) {
 		return s.g.view.choosePath(s.service.Name, r, now)
 	}
 	var choice savorypath.Choice
 	err := savorypath.ErrNoPath
 	// These engines may be asked again, though they failed once.
-	r.Avoid = func(id string) bool { return s.avoid[id] && !s.firsts[id] }
-	for first := range s.firsts {
+	avoid := r.Avoid
+	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id] }
+	for first := range firsts {
 		r.First = first
 		if choice, err = s.g.view.choosePath(s.service.Name, r, now); err == nil {
 			break
@@ -150,11 +189,7 @@
 }
 
 // noPath ends a stream for which there is no chain.
-func (s *stream) noPath(err error, last *attempt) {
-	if last != nil && s.count == 0 && last.answer != nil && last.verdict == savoryverdict.Ran {
-		s.lastAttempt(last)
-		return
-	}
+func (s *stream) noPath(err error) {
 	after := brokenRetry
 	if errors.Is(err, savorypath.ErrFull) {
 		after = s.memoryFree()
@@ -167,8 +202,8 @@
 	s.fail(e)
 }
 
-// memoryFree estimates when memory for another request is free: one usual
-// answer divided by the requests that run.
+// memoryFree estimates when memory for another request is free: many run at
+// once, and the steps of a usual answer end some of them.
 func (s *stream) memoryFree() time.Duration {
 	e := s.service.Engine
 	usual := time.Duration(e.UsualAnswer) * e.StepTime
@@ -196,7 +231,10 @@
 // canGoOn reports whether another chain could take the stream now, and takes the
 // retry for it.
 func (a *attempt) canGoOn() bool {
-	if !a.route.Resumable || a.sends >= streamSends || a.g.now().After(a.deadline) {
+	a.mu.Lock()
+	sends := a.sends
+	a.mu.Unlock()
+	if !a.route.Resumable || sends >= streamSends || a.g.now().After(a.deadline) {
 		return false
 	}
 	choice, err := a.chooseFrom(a.pathRequest(), a.g.now())
@@ -274,8 +312,7 @@
 	first := a.path[0]
 	req := a.request(Forward{Server: first.Server, Path: a.path, LastEvent: a.events.lastID(a.caller.LastEvent)})
 	a.events.begin()
-	a.sends++
-	a.g.sent(a.service.Name, a.sends)
+	a.g.sent(a.service.Name, a.countSend())
 	answer, err := a.g.servers.Do(ctx, first.Address, req)
 	if err != nil {
 		a.failed(ctx, err)
@@ -286,8 +323,7 @@
 		a.refused()
 		return
 	}
-	a.mayHaveRun = true
-	a.firsts[first.Server] = true
+	a.ranFrom(first.Server)
 	if !a.header {
 		a.headAnswer(answer.Header)
 		a.header = true
@@ -307,8 +343,7 @@
 	}
 	a.err = err
 	if a.verdict != savoryverdict.NotRun {
-		a.mayHaveRun = true
-		a.firsts[a.path[0].Server] = true
+		a.ranFrom(a.path[0].Server)
 	}
 	if a.gone() || errors.Is(err, errDeadline) {
 		return
@@ -319,11 +354,11 @@
 	switch {
 	case failure != nil && failure.Stage == "dial":
 		a.g.view.failed(a.path[0].Server, false, a.g.now())
-		a.avoid[a.path[0].Server] = true
+		a.avoids(a.path[0].Server)
 	case errors.Is(err, errStalled):
 		// The watch has blamed whom it found.
 	default:
-		a.avoid[a.path[0].Server] = true
+		a.avoids(a.path[0].Server)
 	}
 }
 
@@ -342,15 +377,14 @@
 		if fault == "" {
 			fault = a.path[0].Server
 		}
-		a.avoid[fault] = true
+		a.avoids(fault)
 		// The engine may only be short of memory, so it rests for a moment.
 		a.g.view.failed(fault, false, a.g.now())
 		return
 	}
-	a.mayHaveRun = true
-	a.firsts[a.path[0].Server] = true
+	a.ranFrom(a.path[0].Server)
 	a.verdict = savoryverdict.MayHaveRun
-	a.avoid[a.path[0].Server] = true
+	a.avoids(a.path[0].Server)
 	if err != nil {
 		a.text, a.err = nil, err
 	}
@@ -398,7 +432,9 @@
 			a.maxGap = max(a.maxGap, now.Sub(a.lastAt))
 		}
 		a.lastAt = now
+		a.mu.Lock()
 		a.count += n
+		a.mu.Unlock()
 		a.watch.event(now)
 		if a.count == n {
 			for _, h := range a.watch.currentPath() {
