--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -1,7 +1,7 @@
 package savorygate
 
 // This file keeps the configuration and the list of servers up to date from the
-// store. A few entries read it and hand on what is new; the others read it
+// store. One entry reads it and hands on what is new; the others read it
 // themselves only while they hear nothing.
 
 import (
@@ -37,8 +37,8 @@
 	meetTime  = 400 * time.Millisecond
 	startWait = 1500 * time.Millisecond
 	// storeFresh is the age of the last answer up to which the store counts as
-	// working.
-	storeFresh = 2 * time.Second
+	// working; entries that are no readers call it seldom.
+	storeFresh = 20 * time.Second
 )
 
 // put puts a configuration in force unless it is older than the one in force.
@@ -232,5 +232,5 @@
 
 // storeWorks reports whether the store answered lately.
 func (g *Gate) storeWorks() bool {
-	return !g.storeLost.Load() && g.now().Sub(time.Unix(0, g.storeAt.Load())) < storeFresh*10
+	return !g.storeLost.Load() && g.now().Sub(time.Unix(0, g.storeAt.Load())) < storeFresh
 }
