Orders, lists and moves outlast the loss of heads, orderers and several engines

(2) Nobody could give orders once the orderer stopped while the store was away for all. (3) Entries that started while the store was away read a list from which servers had lapsed, and refused callers for two seconds after its return. (5) After three heads of a zone were lost no further entry was ever tried: all of the zone took themselves for its head and read the store each. (6) Sums of loads of former heads counted beside those of the new for five seconds, so that memory seemed taken. (7) Retry-After of a full service counted single steps, not passes of the chain.

Ruled out: processor time and links as the cause of late moves (peaks of 0.09 cores; the engines' own answers name missing or full engines).

--- a/savorycore/savorypath/search.go
+++ b/savorycore/savorypath/search.go
@@ -76,6 +76,9 @@
 	result := none
 	for k := i + 1; k < len(borders) && borders[k] <= c.Holds.To; k++ {
 		own := c.perLayer*float64(borders[k]-borders[i]) + c.wait
+		if part := (savoryworld.LayerRange{From: borders[i], To: borders[k]}); part != c.kept {
+			own += c.reread * float64(part.Count())
+		}
 		if borders[k] == t.engine.Layers {
 			if own < result.cost {
 				result = state{cost: own, use: -1, to: k}
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -152,6 +152,16 @@
 	t.sum(now)
 }
 
+// SetPeers takes what each peer has in flight; peers that are not named have
+// nothing.
+func (t *Table) SetPeers(byPeer map[string][]Load, now time.Time) {
+	t.peers = make(map[string]peerLoad, len(byPeer))
+	for peer, loads := range byPeer {
+		t.peers[peer] = peerLoad{loads: loads, at: now}
+	}
+	t.sum(now)
+}
+
 // sum adds up the peers' loads.
 func (t *Table) sum(now time.Time) {
 	t.total = make(map[string]Load)
@@ -256,6 +266,24 @@
 	return l
 }
 
+// AnswerTime estimates how long a usual answer takes on the chains that were
+// chosen lately.
+func (t *Table) AnswerTime() time.Duration {
+	if t.engine == nil {
+		return 0
+	}
+	return time.Duration(t.answerTime() * float64(time.Second))
+}
+
+// answerTime returns the estimate in seconds.
+func (t *Table) answerTime() float64 {
+	usual := t.pass
+	if usual == 0 {
+		usual = answerPass.Seconds()
+	}
+	return max(usual, float64(t.engine.UsualAnswer)/float64(max(1, t.engine.Stride))*usual)
+}
+
 // Request is what a path is chosen for.
 type Request struct {
 	// Tokens is the expected memory of the request in tokens.
@@ -264,6 +292,9 @@
 	Avoid func(server string) bool
 	// First, if set, names the server that must be the first hop.
 	First string
+	// Keep is the path of a running request that is moved: engines that keep
+	// their part keep its memory, the others read all tokens so far.
+	Keep Path
 	// Continuing says that the request had begun on another path.
 	Continuing bool
 	// Across allows a chain over several zones where no zone has one.
@@ -370,6 +401,10 @@
 	// slots are taken.
 	first   float64
 	noFirst bool
+	// kept is the part of a moved request that the engine has, reread the time
+	// for each layer in which it reads another part, in seconds.
+	kept   savoryworld.LayerRange
+	reread float64
 }
 
 func (t *Table) candidate(e *Engine, r Request, now time.Time) candidate {
@@ -379,8 +414,12 @@
 	if room > 0 {
 		fill = (l.Memory + float64(r.Tokens*e.Holds.Count())) / room
 	}
-	// The time of a part grows with the fill, since a full engine preempts.
-	perLayer := t.passTime(e, l.Requests) * (1 + loadWeight*fill*fill*fill*fill)
+	kept := r.Keep.part(e.ID)
+	perLayer := t.passTime(e, l.Requests)
+	if kept.Empty() {
+		// The time of a part grows with the fill, since a full engine preempts.
+		perLayer *= 1 + loadWeight*fill*fill*fill*fill
+	}
 	if t.Rand != nil {
 		perLayer *= 1 + min(spreadMost, spreadEach*float64(t.Entries))*t.Rand.Float64()
 	}
@@ -389,7 +428,12 @@
 	if r.Continuing {
 		most = continuingAt
 	}
-	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > most}
+	// A kept part has its memory already.
+	c := candidate{Engine: e, perLayer: perLayer, wait: wait, fill: fill, full: fill > most && kept.Empty(), kept: kept}
+	if r.Keep != nil {
+		layers := float64(t.engine.Layers)
+		c.reread = t.readTime(e, r.Tokens, perLayer*layers) / layers
+	}
 	if t.engine.Slots > 0 {
 		taken := float64(l.First+1) / float64(t.engine.Slots)
 		c.noFirst = taken > slotsAt
@@ -398,6 +442,20 @@
 	return c
 }
 
+// readTime estimates the time in seconds in which an engine reads a prompt of
+// tokens through all layers, between passes that take pass.
+func (t *Table) readTime(e *Engine, tokens int, pass float64) float64 {
+	m := t.engine
+	read := 0.0
+	if m.ReadPerSecond > 0 {
+		read = float64(tokens) / m.ReadPerSecond * e.Kind.ReadFactor * max(1, e.Slow)
+	}
+	if m.ReadChunk > 0 {
+		read += float64(tokens) / float64(m.ReadChunk) * pass
+	}
+	return read
+}
+
 // passTime estimates the time of a pass for each layer at an engine that runs n
 // requests: the steps of its batch, stretched by the reading of prompts between
 // them. A request is at the engine for its part of the chain only, and prompts
@@ -411,18 +469,6 @@
 	batch := 1 + float64(n)*part
 	step := m.StepTime.Seconds() + batch*(m.RequestTime.Seconds()+m.ContextTime.Seconds()*context)
 	pass := stride * step * e.Kind.StepFactor * slow
-	usual := t.pass
-	if usual == 0 {
-		usual = answerPass.Seconds()
-	}
-	answer := max(usual, float64(m.UsualAnswer)/stride*usual)
-	read := 0.0
-	if m.ReadPerSecond > 0 {
-		read = float64(m.UsualPrompt) / m.ReadPerSecond * e.Kind.ReadFactor * slow
-	}
-	if m.ReadChunk > 0 {
-		read += float64(m.UsualPrompt) / float64(m.ReadChunk) * pass
-	}
-	reading := float64(n) / answer * read * part
+	reading := float64(n) / t.answerTime() * t.readTime(e, m.UsualPrompt, pass) * part
 	return pass / float64(m.Layers) / (1 - min(mostReading, reading))
 }
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -222,3 +222,36 @@
 	is.NoErr(err)
 	is.NoErr(choice.Path.Check(80))
 }
+
+// Pattern: an engine of a running request is lost. The others keep their parts,
+// also where they are full or slower than a path from scratch would be.
+func TestMoveKeepsOtherEngines(t *testing.T) {
+	m := testModel()
+	m.ReadPerSecond, m.ReadChunk = 164000, 512
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		table := &Table{Zone: "a", Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), Entries: 60}
+		var engines []Engine
+		for unit := range 8 {
+			for n := range 3 {
+				engines = append(engines, engine(m, fmt.Sprint("e", unit, n), "a", "slow", unit*10, unit*10+10))
+			}
+		}
+		table.SetEngines(m, engines)
+		old, err := table.Choose(Request{Tokens: 800}, begin)
+		is.NoErr(err)
+		table.Began(old.Path, 800, begin)
+		full := rapid.SampledFrom(old.Path).Draw(t, "full").Server
+		room := m.Room(m.Accelerator("slow"), 10)
+		table.SetPeer("p", []Load{{Server: full, Requests: 500, Memory: 2 * room}}, begin)
+		lost := rapid.SampledFrom(old.Path[1:]).Draw(t, "lost").Server
+		moved, err := table.Choose(Request{
+			Tokens: 800, First: old.Path[0].Server, Keep: old.Path, Continuing: true, Avoid: func(id string) bool { return id == lost },
+		}, begin)
+		is.NoErr(err)
+		is.NoErr(moved.Path.Check(80))
+		for i, h := range old.Path {
+			is.True((moved.Path[i] == h) == (h.Server != lost)) // only the lost part goes elsewhere
+		}
+	})
+}
--- a/savorycore/savorypeer/news.go
+++ b/savorycore/savorypeer/news.go
@@ -57,9 +57,10 @@
 	Orderer    bool    `msgpack:",omitempty"`
 	Entries    []Entry `msgpack:",omitempty"`
 	Known      Known
-	// Loads is what the sender has in flight at engines. Those for which it
-	// relays are part of it, but for the receiver.
+	// Loads is what the sender has in flight at engines. If it is Relayed, those
+	// for which it relays are part of it, but for the receiver.
 	Loads   []savorypath.Load     `msgpack:",omitempty"`
+	Relayed bool                  `msgpack:",omitempty"`
 	Faults  []Fault               `msgpack:",omitempty"`
 	Config  *savoryrouting.Config `msgpack:",omitempty"`
 	Listing *savoryroster.Listing `msgpack:",omitempty"`
--- /dev/null
+++ b/savorycore/savoryplacement/tenure.go
@@ -0,0 +1,134 @@
+package savoryplacement
+
+// This file defines Tenure, which decides whether an entry may give orders.
+
+import "time"
+
+const (
+	// TenureTime is the orderer's lease: a successor begins at most so long after
+	// its death, as the entries of the store lapse.
+	TenureTime = 2 * time.Second
+	// tenureParts divides the lease's time; the holder acts for all parts but one
+	// and renews after one.
+	tenureParts = 3
+	// standInTime is how long an entry goes on standing in after the store is
+	// back: the lease of the orderer that is gone is restored then, and lapses.
+	standInTime = 2 * TenureTime
+	// retryEvery is the pause after a failed renewal; several fit into a part.
+	retryEvery = 200 * time.Millisecond
+)
+
+// Step is what an entry does about its tenure.
+type Step string
+
+// The steps.
+const (
+	// TenureNone gives no orders.
+	TenureNone Step = "None"
+	// TenureAct gives orders.
+	TenureAct Step = "Act"
+	// TenureRenew renews the lease first.
+	TenureRenew Step = "Renew"
+	// TenureTake tries to take the lease first.
+	TenureTake Step = "Take"
+	// TenureStandIn gives orders without a lease: the store is away for all, so
+	// that nobody can take one, and the orderer is gone.
+	TenureStandIn Step = "StandIn"
+	// TenureLost gives up the lease that was held.
+	TenureLost Step = "Lost"
+)
+
+// Witness is what an entry sees of the store and of the others.
+type Witness struct {
+	// ListAge is the age of the newest list of servers that any heard entry has
+	// read from the store. The store counts as away for all above AwayAge.
+	ListAge time.Duration
+	AwayAge time.Duration
+	// Live is the number of live entries with this one.
+	Live int
+	// First says that no live entry comes before this one, StoreFirst that none
+	// of those that reach the store does.
+	First      bool
+	StoreFirst bool
+	// OrdererHeard says that another live entry gives orders.
+	OrdererHeard bool
+}
+
+// Tenure is an entry's claim to give orders. The zero value holds none; it is
+// not safe for concurrent use.
+type Tenure struct {
+	held    bool
+	until   time.Time
+	renewAt time.Time
+	// lostAt is the first failed renewal since the last answered one.
+	lostAt time.Time
+	// outage is set while the holder goes on without the store.
+	outage bool
+	// standInUntil is the end of standing in.
+	standInUntil time.Time
+}
+
+// Held reports whether the entry holds the lease.
+func (t *Tenure) Held() bool { return t.held }
+
+// Next returns what to do now.
+func (t *Tenure) Next(w Witness, now time.Time) Step {
+	switch {
+	case t.held && now.Before(t.renewAt) && now.Before(t.until):
+		return TenureAct
+	case t.held:
+		return TenureRenew
+	case w.OrdererHeard:
+		t.standInUntil = time.Time{}
+		return TenureNone
+	case w.StoreFirst && !now.Before(t.renewAt):
+		t.renewAt = now.Add(TenureTime / tenureParts)
+		return TenureTake
+	case w.First && w.Live > 1 && w.ListAge >= w.AwayAge:
+		// One that hears nobody is rather cut off itself.
+		t.standInUntil = now.Add(standInTime)
+		return TenureStandIn
+	case w.First && now.Before(t.standInUntil):
+		return TenureStandIn
+	}
+	return TenureNone
+}
+
+// Granted takes a lease that was granted or renewed; it counts from before the
+// call.
+func (t *Tenure) Granted(ttl time.Duration, from time.Time) {
+	*t = Tenure{held: true, until: from.Add(ttl * (tenureParts - 1) / tenureParts), renewAt: from.Add(ttl / tenureParts)}
+}
+
+// Lapsed takes the store's answer that the lease is gone.
+func (t *Tenure) Lapsed() { *t = Tenure{} }
+
+// Unanswered takes a renewal without an answer and returns whether the entry
+// acts on, waits or gives up.
+//
+// If another entry has read the list since, the store is away for this entry
+// only, and a successor may take the lease. If all who are heard have given up
+// reading, nobody can succeed, and engines still fail: the holder goes on.
+// Between the two no orders are given.
+func (t *Tenure) Unanswered(w Witness, now time.Time) Step {
+	if t.lostAt.IsZero() {
+		t.lostAt = now
+	}
+	t.renewAt = now.Add(retryEvery)
+	switch {
+	case now.Before(t.until):
+		return TenureAct
+	case now.Add(-w.ListAge).After(t.lostAt), w.Live == 1:
+		t.Lapsed()
+		return TenureLost
+	case w.ListAge < w.AwayAge:
+		return TenureNone
+	}
+	t.outage = true
+	t.renewAt = now.Add(TenureTime / tenureParts)
+	t.until = t.renewAt
+	return TenureAct
+}
+
+// Outage reports whether the holder goes on without the store.
+func (t *Tenure) Outage() bool { return t.outage }
--- /dev/null
+++ b/savorycore/savoryplacement/tenure_test.go
@@ -0,0 +1,80 @@
+package savoryplacement
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The tenure follows the script.
+func TestTenureScript(t *testing.T) {
+	is := is.New(t)
+	file, err := os.Open("testdata/tenure.txt")
+	is.NoErr(err)
+	defer file.Close()
+	var tenure Tenure
+	lines := bufio.NewScanner(file)
+	for n := 1; lines.Scan(); n++ {
+		line, want, _ := strings.Cut(strings.TrimSpace(lines.Text()), " -> ")
+		switch {
+		case line == "" || strings.HasPrefix(line, "#"):
+		case strings.HasPrefix(line, "case "):
+			tenure = Tenure{}
+		default:
+			got, err := tenureStep(&tenure, strings.Fields(line))
+			if err != nil {
+				t.Fatalf("tenure.txt:%d: %v", n, err)
+			}
+			if string(got) != want {
+				t.Errorf("tenure.txt:%d: %s, not %s", n, got, want)
+			}
+		}
+	}
+	is.NoErr(lines.Err())
+}
+
+func tenureStep(t *Tenure, words []string) (Step, error) {
+	ms, err := strconv.Atoi(words[0])
+	if err != nil {
+		return "", err
+	}
+	now := time.Unix(0, 0).Add(time.Duration(ms) * time.Millisecond)
+	w := Witness{AwayAge: 2 * time.Second}
+	for _, word := range words[2:] {
+		name, value, _ := strings.Cut(word, "=")
+		v, _ := strconv.Atoi(value) // words without a value have 0
+		switch name {
+		case "age":
+			w.ListAge = time.Duration(v) * time.Millisecond
+		case "live":
+			w.Live = v
+		case "first":
+			w.First = true
+		case "storefirst":
+			w.StoreFirst = true
+		case "orderer":
+			w.OrdererHeard = true
+		default:
+			return "", fmt.Errorf("word %q is not known", word)
+		}
+	}
+	switch words[1] {
+	case "next":
+		return t.Next(w, now), nil
+	case "granted":
+		t.Granted(TenureTime, now)
+	case "lapsed":
+		t.Lapsed()
+	case "unanswered":
+		return t.Unanswered(w, now), nil
+	default:
+		return "", fmt.Errorf("event %q is not known", words[1])
+	}
+	return "", nil
+}
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -75,6 +75,21 @@
 	return d.Sum64()
 }
 
+// Kept returns what is worth keeping of a listing for entries that start while
+// the store's own entries have lapsed: no server that leaves, and nothing that
+// changes with each heartbeat.
+func (l *Listing) Kept() *Listing {
+	kept := &Listing{Revision: l.Revision}
+	for _, s := range l.Servers {
+		if s.Leaving {
+			continue
+		}
+		s.Busy, s.Beat, s.Orders, s.ReportedBeat = false, 0, 0, 0
+		kept.Servers = append(kept.Servers, s)
+	}
+	return kept
+}
+
 // Check returns an error if a listing from a peer is not well formed.
 func (l *Listing) Check() error {
 	for i, s := range l.Servers {
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -122,6 +122,8 @@
 	OrderBegun   OrderResult = "Begun"
 	OrderDone    OrderResult = "Done"
 	OrderRefused OrderResult = "Refused"
+	// OrderUnknown means that the engine does not have the request to be moved.
+	OrderUnknown OrderResult = "Unknown"
 )
 
 // Engines calls the engines.
@@ -132,6 +134,6 @@
 	// layers that are given up.
 	Place func(ctx context.Context, address netip.AddrPort, server string, layers savoryworld.LayerRange, expected int64, urgent bool) (OrderResult, error)
 	// Repath moves a running request to another path with the same first
-	// engine.
-	Repath func(ctx context.Context, address netip.AddrPort, server, request string, path savorypath.Path) (OrderResult, error)
+	// engine. A refusal may name the engine of the path that is not there.
+	Repath func(ctx context.Context, address netip.AddrPort, server, request string, path savorypath.Path) (OrderResult, netip.AddrPort, error)
 }
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -74,7 +74,8 @@
 
 // followList does the same with the list of servers.
 func (g *Gate) followList() error {
-	return g.readInTurn(g.readList)
+	var kept keptList
+	return g.readInTurn(func() error { return g.readList(&kept) })
 }
 
 // readInTurn calls read at the interval of the readings while this entry is the
@@ -148,7 +149,7 @@
 }
 
 // readList reads the list of servers.
-func (g *Gate) readList() error {
+func (g *Gate) readList(kept *keptList) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	readAt := g.now()
@@ -167,9 +168,13 @@
 		}
 		l.Servers = append(l.Servers, s)
 	}
+	g.recallList(ctx)
 	if g.takeList(l, reading{id: rand.Uint64(), at: readAt}, "store") {
 		g.wakeRelay()
 	}
+	if g.relay.rank(g.now()) < readers {
+		g.keepList(ctx, kept)
+	}
 	return nil
 }
 
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -109,7 +109,8 @@
 // requests.
 func (g *Gate) sample(id string) bool { return xxhash.Sum64String(id)%sampleOf == 0 }
 
-// Run serves until Stop has ended all requests, or a listener fails.
+// Run serves until Stop has ended all requests, a listener fails, or ctx ends,
+// which cuts all requests.
 func (g *Gate) Run(ctx context.Context) error {
 	s := g.Settings()
 	g.ctx = g.tomb.Context(ctx) //nolint:contextcheck // the tomb ends it
@@ -137,6 +138,14 @@
 	for _, run := range []func() error{g.followConfig, g.followList, g.runRelay, g.runOrders, g.register, g.sweep} {
 		g.tomb.Go(run)
 	}
+	g.tomb.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-g.tomb.Dying():
+			return nil
+		}
+	})
 	err := g.tomb.Wait()
 	g.peers.Close()
 	g.Log.WithField("reason", fmt.Sprint(err)).Info("entry ends")
--- /dev/null
+++ b/savoryentry/savorygate/kept.go
@@ -0,0 +1,86 @@
+package savorygate
+
+// This file keeps a copy of the list of servers in the store. Entries of the
+// platform's list lapse while the store is away, and stand there again only a
+// while after its return; entries that have started meanwhile know no other.
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savorywire"
+)
+
+const (
+	keptKey = "savorycart/roster"
+	// keptBytes is the largest copy: the store takes no value above 1 MiB, and
+	// the copy is encoded in base64 on the way.
+	keptBytes = 700 << 10
+)
+
+// keptList is the copy as this entry last wrote or saw it.
+type keptList struct {
+	print    uint64
+	revision int64
+}
+
+// keepList writes the copy if the list says something else than it. Another
+// reader may have written one since; then its revision is learned, and the next
+// reading writes.
+func (g *Gate) keepList(ctx context.Context, k *keptList) {
+	listing, _ := g.view.listing(g.now())
+	kept := listing.Kept()
+	print := kept.Print()
+	if print == k.print || len(kept.Servers) == 0 {
+		return
+	}
+	body, err := savorywire.Encode(kept)
+	if err == nil && len(body) > keptBytes {
+		err = fmt.Errorf("copy has %d bytes, of at most %d", len(body), keptBytes)
+	}
+	if err != nil {
+		g.Log.WithError(err).Warn("copy of the list not kept")
+		k.print = print
+		return
+	}
+	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: keptKey, Old: k.revision, Body: body})
+	g.storeAnswered("swap", err)
+	if err != nil {
+		g.Log.WithError(err).Info("copy of the list not kept")
+		return
+	}
+	if !result.Won {
+		k.revision = result.Current.Revision
+		return
+	}
+	k.print, k.revision = print, result.Revision
+	g.Log.WithFields(log.Fields{"servers": len(kept.Servers), "listRevision": kept.Revision, "revision": result.Revision}).Debug("copy of the list kept")
+}
+
+// recallList takes the copy before the first reading of an entry: what the list
+// lacks may have lapsed while the store was away, before this entry started.
+func (g *Gate) recallList(ctx context.Context) {
+	if g.view.listed() || g.Settings().FirstStart && !g.storeLost.Load() {
+		return
+	}
+	v, err := g.Store.Get(ctx, keptKey)
+	g.storeAnswered("get", err)
+	if err != nil || !v.Found() {
+		return
+	}
+	l := new(savoryroster.Listing)
+	if err = savorywire.Decode(v.Body, l); err == nil {
+		err = l.Check()
+	}
+	if err != nil {
+		g.Log.WithError(err).WithField("key", keptKey).Error("copy of the list cannot be read; the list alone counts")
+		return
+	}
+	g.view.recall(l, g.now(), g.config())
+	g.wakeRelay()
+	g.Log.WithFields(log.Fields{"servers": len(l.Servers), "listRevision": l.Revision, "revision": v.Revision}).Info("copy of the list recalled")
+}
--- /dev/null
+++ b/savoryentry/savorygate/loads.go
@@ -0,0 +1,120 @@
+package savorygate
+
+// This file adds up what the entries have in flight at engines. In a large fleet
+// the heads hand on sums, and each entry must be counted once in what any other
+// gets, also while two take themselves for the head of a zone.
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savorypeer"
+)
+
+// loadFresh is the age up to which a peer's load counts; the requests of one that
+// is silent for longer have ended with it.
+const loadFresh = 2 * peerFresh
+
+// loadSum adds up loads by server.
+type loadSum map[string]savorypath.Load
+
+func (s loadSum) add(loads []savorypath.Load) {
+	for _, l := range loads {
+		sum := s[l.Server]
+		sum.Server, sum.Requests, sum.Memory, sum.First = l.Server, sum.Requests+l.Requests, sum.Memory+l.Memory, sum.First+l.First
+		s[l.Server] = sum
+	}
+}
+
+// all returns the sums by server.
+func (s loadSum) all() []savorypath.Load {
+	all := make([]savorypath.Load, 0, len(s))
+	for _, l := range s {
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b savorypath.Load) int { return strings.Compare(a.Server, b.Server) })
+	return all
+}
+
+// loadsFor returns what is in flight at engines by own and those for which this
+// entry relays, as the receiver is to count it, and whether any are relayed: to
+// an entry of the zone all but its own, to another zone what this one has.
+func (r *relay) loadsFor(to savorypeer.Entry, own []savorypath.Load, now time.Time) ([]savorypath.Load, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large() || !r.head(now) {
+		return own, false
+	}
+	sum := make(loadSum)
+	sum.add(own)
+	r.addZone(sum, to, now)
+	if to.Zone == r.self.Zone {
+		r.addOtherZones(sum, now)
+	}
+	return sum.all(), true
+}
+
+// loads returns what all others have in flight, by peer; the sum of a large fleet
+// stands under one name.
+func (r *relay) loads(now time.Time) map[string][]savorypath.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byPeer := make(map[string][]savorypath.Load)
+	if !r.large() {
+		for address, p := range r.peers {
+			if now.Sub(p.heardAt) < loadFresh {
+				byPeer[address.String()] = p.loads
+			}
+		}
+		return byPeer
+	}
+	sum := make(loadSum)
+	if r.head(now) && r.addZone(sum, savorypeer.Entry{}, now) {
+		r.addOtherZones(sum, now)
+	} else if p := r.relayer(r.self.Zone, now); p != nil {
+		// A new head goes by the last one's sum until it is told by its zone.
+		sum.add(p.loads)
+	}
+	byPeer["others"] = sum.all()
+	return byPeer
+}
+
+// addZone adds what the entries of the own zone have, but for one, and reports
+// whether there are any.
+func (r *relay) addZone(sum loadSum, but savorypeer.Entry, now time.Time) (any bool) {
+	for _, p := range r.peers {
+		if p.entry.Zone == r.self.Zone && p.entry.Address != but.Address && !p.relayed && now.Sub(p.heardAt) < loadFresh {
+			sum.add(p.loads)
+			any = true
+		}
+	}
+	return any
+}
+
+// addOtherZones adds what the heads of the other zones told.
+func (r *relay) addOtherZones(sum loadSum, now time.Time) {
+	zones := make(map[string]bool)
+	for _, p := range r.peers {
+		zones[p.entry.Zone] = true
+	}
+	delete(zones, r.self.Zone)
+	for zone := range zones {
+		if p := r.relayer(zone, now); p != nil {
+			sum.add(p.loads)
+		}
+	}
+}
+
+// relayer returns the peer whose sums count for a zone: the one that relays and
+// was heard last. Two that do so at once have the same entries in their sums.
+func (r *relay) relayer(zone string, now time.Time) *relayPeer {
+	var last *relayPeer
+	for _, p := range r.peers {
+		if p.entry.Zone == zone && p.relayed && now.Sub(p.heardAt) < loadFresh && (last == nil || p.heardAt.After(last.heardAt)) {
+			last = p
+		}
+	}
+	return last
+}
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -20,12 +20,6 @@
 const (
 	ordererKey = "savorycart/orderer"
 	planPrefix = "savorycart/plan/"
-	// ordererTime is the orderer's lease: a successor begins at most so long
-	// after its death.
-	ordererTime = 2 * time.Second
-	// tenureParts divides the lease's time; the orderer acts for all parts but
-	// one and renews after one.
-	tenureParts = 3
 	// outageTime is how long the list must have been too old for any entry to
 	// wait, before the store counts as away for all: in it each reads itself.
 	outageTime = 400 * time.Millisecond
@@ -41,13 +35,12 @@
 
 // orderer is the state of an entry that gives orders.
 type orderer struct {
-	lease   savorystore.Lease
-	until   time.Time
-	renewAt time.Time
-	// lostAt is the first failed renewal since the last answered one, outage is
-	// set while the orderer goes on without the store.
-	lostAt   time.Time
-	outage   bool
+	tenure savoryplacement.Tenure
+	lease  savorystore.Lease
+	// standIn is set while orders are given without a lease.
+	standIn bool
+	// services hold the plans; they outlast a change from standing in to a
+	// lease.
 	services map[string]*serviceOrders
 }
 
@@ -85,76 +78,82 @@
 	return nil
 }
 
-// holdsTenure renews or takes the lease and reports whether it holds.
+// witness returns what is seen of the store and of the other entries.
+func (g *Gate) witness(now time.Time) savoryplacement.Witness {
+	return savoryplacement.Witness{
+		ListAge: g.listAge(), AwayAge: g.staleAge() + outageTime, Live: g.relay.live(now),
+		First: g.relay.first(now), StoreFirst: g.relay.rank(now) == 0, OrdererHeard: g.relay.ordererHeard(now),
+	}
+}
+
+// holdsTenure renews or takes the lease where it is time to, and reports whether
+// this entry gives orders.
 func (g *Gate) holdsTenure(o *orderer) bool {
 	now := g.now()
-	if now.Before(o.until) && now.Before(o.renewAt) {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
-	defer cancel()
-	if o.lease.ID != 0 {
-		lease, err := g.Store.KeepAlive(ctx, o.lease.ID)
-		g.storeAnswered("keepalive", err)
-		if err == nil {
-			o.extend(lease, now)
-			return true
+	w := g.witness(now)
+	step := o.tenure.Next(w, now)
+	switch step {
+	case savoryplacement.TenureRenew:
+		return g.renewTenure(o, now)
+	case savoryplacement.TenureTake:
+		if err := g.takeTenure(o, now); err != nil {
+			g.Log.WithError(err).Info("orderer's lease not taken")
+			// The store may be away again: the next round decides.
+			return o.standIn
 		}
-		if o.lostAt.IsZero() {
-			o.lostAt = now
-		}
-		o.renewAt = now.Add(ordersEvery)
-		switch {
-		case savorystore.LeaseGone(err):
-			g.loseTenure(o, err)
-			return false
-		case now.Before(o.until):
-			return true
+		return true
+	case savoryplacement.TenureStandIn:
+		if !o.standIn {
+			o.standIn = true
+			g.gainOrders(o)
+			g.Log.WithFields(log.Fields{"listAgeMs": w.ListAge.Milliseconds(), "live": w.Live}).Warn("orders are given without a lease: the store is away for all and the orderer is gone")
 		}
-		return g.outageTenure(o, now, err)
-	}
-	if g.relay.ordererHeard(now) || g.relay.rank(now) > 0 || now.Before(o.renewAt) {
-		return false
+		return true
 	}
-	o.renewAt = now.Add(ordererTime / tenureParts)
-	if err := g.takeTenure(ctx, o, now); err != nil {
-		g.Log.WithError(err).Info("orders are given by another entry")
-		return false
+	if step == savoryplacement.TenureNone && o.standIn {
+		g.loseTenure(o, fmt.Errorf("list age %s, first %t, another orderer heard %t", w.ListAge, w.First, w.OrdererHeard))
 	}
-	return true
+	return step == savoryplacement.TenureAct
 }
 
-// outageTenure decides whether to go on once the tenure has ended and the store
-// does not answer. If another entry has read the list since, the store is away
-// for this entry only, and a successor may take the lease. If all who are heard
-// have given up reading, nobody can succeed, and engines still fail. Between the
-// two no orders are given.
-func (g *Gate) outageTenure(o *orderer, now time.Time, err error) bool {
-	age := g.listAge()
-	switch {
-	case now.Add(-age).After(o.lostAt), g.relay.live(now) == 1:
+// renewTenure renews the lease and reports whether orders may be given.
+func (g *Gate) renewTenure(o *orderer, now time.Time) bool {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
+	lease, err := g.Store.KeepAlive(ctx, o.lease.ID)
+	g.storeAnswered("keepalive", err)
+	if err == nil {
+		o.lease = lease
+		o.tenure.Granted(lease.TTL, now)
+		return true
+	}
+	if savorystore.LeaseGone(err) {
 		g.loseTenure(o, err)
 		return false
-	case age < g.staleAge()+outageTime:
-		return false
 	}
-	if !o.outage {
-		o.outage = true
-		g.Log.WithField("listAgeMs", age.Milliseconds()).Info("orderer goes on while the store is away for all")
+	outage := o.tenure.Outage()
+	w := g.witness(now)
+	step := o.tenure.Unanswered(w, now)
+	if step == savoryplacement.TenureLost {
+		g.loseTenure(o, err)
+	}
+	if o.tenure.Outage() && !outage {
+		g.Log.WithField("listAgeMs", w.ListAge.Milliseconds()).Warn("orderer goes on while the store is away for all")
 	}
-	o.renewAt = now.Add(ordererTime / tenureParts)
-	o.until = o.renewAt
-	return true
+	return step == savoryplacement.TenureAct
 }
 
-// extend counts the tenure from before the call that granted or renewed it.
-func (o *orderer) extend(lease savorystore.Lease, from time.Time) {
-	o.lease, o.lostAt, o.outage = lease, time.Time{}, false
-	o.until = from.Add(lease.TTL * (tenureParts - 1) / tenureParts)
-	o.renewAt = from.Add(lease.TTL / tenureParts)
+// gainOrders begins to give orders.
+func (g *Gate) gainOrders(o *orderer) {
+	if o.services == nil {
+		o.services = make(map[string]*serviceOrders)
+	}
+	g.ordering.Store(true)
 }
 
-func (g *Gate) takeTenure(ctx context.Context, o *orderer, now time.Time) error {
+func (g *Gate) takeTenure(o *orderer, now time.Time) error {
+	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
+	defer cancel()
 	current, err := g.Store.Get(ctx, ordererKey)
 	g.storeAnswered("get", err)
 	if err != nil {
@@ -163,7 +162,7 @@
 	if current.Found() {
 		return fmt.Errorf("%s is held by %s", ordererKey, current.Body)
 	}
-	lease, err := g.Store.Grant(ctx, max(ordererTime, g.Settings().LeaseLeast))
+	lease, err := g.Store.Grant(ctx, max(savoryplacement.TenureTime, g.Settings().LeaseLeast))
 	g.storeAnswered("grant", err)
 	if err != nil {
 		return err
@@ -176,9 +175,9 @@
 	if !result.Won {
 		return fmt.Errorf("%s was taken by %s", ordererKey, result.Current.Body)
 	}
-	o.extend(lease, now)
-	o.services = make(map[string]*serviceOrders)
-	g.ordering.Store(true)
+	o.lease, o.standIn = lease, false
+	o.tenure.Granted(lease.TTL, now)
+	g.gainOrders(o)
 	g.Log.WithFields(log.Fields{"lease": lease.ID, "revision": result.Revision}).Info("orderer gained")
 	return nil
 }
@@ -191,7 +190,10 @@
 
 // resign ends the lease, so that a successor begins at once.
 func (g *Gate) resign(o *orderer) {
-	if o.lease.ID == 0 {
+	if !o.tenure.Held() {
+		if o.standIn {
+			g.loseTenure(o, errStopped)
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -206,7 +208,7 @@
 	so := o.services[s.Name]
 	if so == nil {
 		var err error
-		if so, err = g.loadPlan(s.Name); err != nil {
+		if so, err = g.loadPlan(s.Name); err != nil && !o.standIn {
 			return
 		}
 		o.services[s.Name] = so
@@ -249,18 +251,17 @@
 	return false
 }
 
+// loadPlan reads the plan of a service. With an error the plan is made from what
+// the engines hold.
 func (g *Gate) loadPlan(service string) (*serviceOrders, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
 	v, err := g.Store.Get(ctx, planPrefix+service)
 	g.storeAnswered("get", err)
-	if err != nil {
-		return nil, err
-	}
 	so := &serviceOrders{revision: v.Revision}
-	if !v.Found() {
+	if err != nil || !v.Found() {
 		so.Resume(savoryplacement.Plan{})
-		return so, nil
+		return so, err
 	}
 	var plan savoryplacement.Plan
 	if err := savorywire.Decode(v.Body, &plan); err != nil {
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -107,6 +107,9 @@
 	}
 	if res.answer != nil {
 		_ = res.answer.Close()
+		if res.err == nil {
+			res.err = statusError(res.answer.StatusCode)
+		}
 	}
 	c.failPlain(res.err, refused)
 }
@@ -169,9 +172,10 @@
 		return plainResult{err: err, verdict: savoryverdict.MayHaveRun, server: id}
 	}
 	cancelAfter(answer, cancel)
-	if answer.StatusCode >= http.StatusInternalServerError {
+	if answer.StatusCode >= http.StatusInternalServerError || promises(answer.StatusCode) {
 		// The server failed by itself; a repeatable request may do better at
-		// another.
+		// another. A status that promises more than the server said counts so
+		// too.
 		c.serverFailed(id, statusError(answer.StatusCode))
 		res.verdict = savoryverdict.MayHaveRun
 		return res
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -35,7 +35,8 @@
 	peerForgotten = 30 * time.Second
 	// missedEvery is the interval of attempts to reach a silent peer.
 	missedEvery = 2 * time.Second
-	// silentTries is the most silent peers that one round tries.
+	// silentTries is the most silent peers of a zone that one round tries; the
+	// rounds of missedEvery reach them all in turn.
 	silentTries = 3
 	// fullMesh is the most peers of a fleet that exchanges all with all.
 	fullMesh = 9
@@ -67,12 +68,22 @@
 	storeWorks bool
 	orderer    bool
 	known      savorypeer.Known
-	loads      []savorypath.Load
-	calling    bool
+	// loads is what the peer said to have in flight; relayed, with what those
+	// have for which it relays.
+	loads   []savorypath.Load
+	relayed bool
+	calling bool
 }
 
 func (p *relayPeer) fresh(now time.Time) bool { return now.Sub(p.heardAt) < peerFresh }
 
+// believed reports whether a peer is heard, or was lately named as live by one
+// that hears it: the entries of a zone hear only their head, and must agree on
+// the next one when it is lost.
+func (p *relayPeer) believed(now time.Time) bool {
+	return p.fresh(now) || now.Sub(p.toldAt) < 2*peerFresh
+}
+
 // add returns the peer at the entry's address, nil for this entry itself.
 func (r *relay) add(e savorypeer.Entry, now time.Time) *relayPeer {
 	if e.Address == r.self.Address || !e.Address.IsValid() {
@@ -110,7 +121,7 @@
 // comes before it.
 func (r *relay) head(now time.Time) bool {
 	for _, p := range r.peers {
-		if p.entry.Zone == r.self.Zone && p.fresh(now) && !p.draining && before(p.entry, r.self) {
+		if p.entry.Zone == r.self.Zone && p.believed(now) && !p.draining && before(p.entry, r.self) {
 			return false
 		}
 	}
@@ -127,6 +138,12 @@
 	return r.place(now, func(p *relayPeer) bool { return p.storeWorks })
 }
 
+// first reports whether no live entry comes before this one, whoever reaches the
+// store.
+func (r *relay) first(now time.Time) bool {
+	return !r.draining() && r.place(now, func(*relayPeer) bool { return true }) == 0
+}
+
 // lastRank is the rank of an entry that takes no part.
 const lastRank = 1 << 20
 
@@ -162,7 +179,7 @@
 	defer r.mu.Unlock()
 	n := 1
 	for _, p := range r.peers {
-		if p.fresh(now) || now.Sub(p.toldAt) < 2*peerFresh {
+		if p.believed(now) {
 			n++
 		}
 	}
@@ -231,10 +248,17 @@
 		slices.SortFunc(peers, func(a, b *relayPeer) int {
 			return cmp.Or(cmp.Compare(b.entry.Strength, a.entry.Strength), a.entry.Address.Compare(b.entry.Address))
 		})
-		for i, p := range peers {
-			if own && !before(p.entry, r.self) || i >= silentTries && !p.fresh(now) {
+		silent := 0
+		for _, p := range peers {
+			if own && !before(p.entry, r.self) {
 				break
 			}
+			if !p.believed(now) {
+				if silent == silentTries || now.Sub(p.triedAt) < missedEvery {
+					continue
+				}
+				silent++
+			}
 			chosen = append(chosen, p)
 			if p.fresh(now) && zone != "" {
 				break
@@ -291,7 +315,8 @@
 		return false
 	}
 	back = !p.fresh(now)
-	p.heardAt, p.draining, p.storeWorks, p.orderer, p.known, p.loads = now, n.Draining, n.StoreWorks, n.Orderer, n.Known, n.Loads
+	p.heardAt, p.draining, p.storeWorks, p.orderer, p.known = now, n.Draining, n.StoreWorks, n.Orderer, n.Known
+	p.loads, p.relayed = n.Loads, n.Relayed
 	for _, e := range n.Entries {
 		q := r.add(e, now)
 		if q != nil && (e.Zone == n.From.Zone || n.From.Zone == r.self.Zone) {
@@ -319,40 +344,6 @@
 	return all
 }
 
-// loadsFor returns what is in flight at engines by own and those for which this
-// entry relays, as the receiver is to count it: to an entry of the zone all but
-// its own, to another head what the zone has.
-func (r *relay) loadsFor(to savorypeer.Entry, own []savorypath.Load, now time.Time) []savorypath.Load {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.large() || !r.head(now) {
-		return own
-	}
-	sum := make(map[string]savorypath.Load)
-	add := func(loads []savorypath.Load) {
-		for _, l := range loads {
-			s := sum[l.Server]
-			s.Server, s.Requests, s.Memory, s.First = l.Server, s.Requests+l.Requests, s.Memory+l.Memory, s.First+l.First
-			sum[l.Server] = s
-		}
-	}
-	add(own)
-	for _, p := range r.peers {
-		if !p.fresh(now) || p.entry.Address == to.Address {
-			continue
-		}
-		if p.entry.Zone == r.self.Zone || to.Zone == r.self.Zone {
-			add(p.loads)
-		}
-	}
-	all := make([]savorypath.Load, 0, len(sum))
-	for _, l := range sum {
-		all = append(all, l)
-	}
-	slices.SortFunc(all, func(a, b savorypath.Load) int { return strings.Compare(a.Server, b.Server) })
-	return all
-}
-
 // wakeRelay lets the next round begin at once.
 func (g *Gate) wakeRelay() {
 	select {
@@ -426,9 +417,10 @@
 	now := g.now()
 	listing, own := g.view.listing(now)
 	cfg := g.config()
+	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(), now)
 	n := &savorypeer.News{
 		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
-		Entries: g.relay.entries(now), Loads: g.relay.loadsFor(to, g.view.ownLoads(), now),
+		Entries: g.relay.entries(now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
 	if cfg != nil {
@@ -459,7 +451,7 @@
 	case n.Known.ListRevision > 0:
 		g.view.refreshed(n.Known, now)
 	}
-	g.view.peerLoads(n.From.Address, n.Loads, now)
+	g.view.peerLoads(g.relay.loads(now), now)
 	for _, f := range n.Faults {
 		if g.view.peerFault(f.Server, now.Add(-f.Age)) {
 			on = true
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// unknownStall is the time without an event after which a chain is given up even
 	// if no engine is named; callers leave after about two seconds.
 	unknownStall = 1300 * time.Millisecond
+	// moveTries bounds the paths that are tried for one move: each finds one unfit
+	// engine at least, and few are lost at once.
+	moveTries = 4
 	// lookTimeout bounds a report or a move of a stream.
 	lookTimeout = 250 * time.Millisecond
 )
@@ -170,42 +174,82 @@
 }
 
 // move lets the stream go on over other engines; those that stay keep its
-// memory.
+// memory. Engines that turn out to be missing or full are avoided in turn: several
+// may be lost at once, and the memory of those that are left is soon taken.
 func (w *stallWatch) move(path savorypath.Path, culprit string) bool {
 	if !w.beginMove(path) {
 		return false
 	}
 	defer w.endMove()
+	avoid := map[string]bool{culprit: true}
+	for range moveTries {
+		unfit, moved := w.tryMove(path, avoid)
+		if moved || len(unfit) == 0 {
+			return moved
+		}
+		for _, server := range unfit {
+			avoid[server] = true
+		}
+	}
+	return false
+}
+
+// tryMove tries one path without the avoided engines. It reports whether the
+// stream was moved, and which engines turned out to be unfit.
+func (w *stallWatch) tryMove(path savorypath.Path, avoid map[string]bool) (unfit []string, moved bool) {
 	g, a := w.a.g, w.a
-	first := path[0].Server
 	choice, err := g.view.choosePath(a.service.Name, savorypath.Request{
-		Tokens: a.tokens, First: first, Continuing: true, Across: true, Avoid: func(id string) bool { return id == culprit },
+		Tokens: a.tokens, First: path[0].Server, Keep: path, Continuing: true, Across: true, Avoid: func(id string) bool { return avoid[id] },
 	}, g.now())
 	if err != nil {
-		a.log.WithError(err).WithField("server", culprit).Info("no chain to move to")
-		return false
+		a.log.WithError(err).WithField("avoided", len(avoid)).Info("no chain to move to")
+		return nil, false
 	}
 	release := func() { g.view.endPath(a.service.Name, choice.Path, a.tokens) }
 	if choice.Path[0] != path[0] {
 		release()
-		return false
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(w.ctx, lookTimeout)
 	defer cancel()
-	result, err := g.Engines.Repath(ctx, path[0].Address, first, a.caller.ID, choice.Path)
+	result, missing, err := g.Engines.Repath(ctx, path[0].Address, path[0].Server, a.caller.ID, choice.Path)
 	g.metrics.orders.WithLabelValues("Repath", string(result)).Inc()
-	a.log.WithFields(log.Fields{"from": path.String(), "to": choice.Path.String(), "result": string(result)}).Info("stream moved")
+	if result == OrderRefused {
+		unfit = unfitFor(path, choice.Path, missing)
+	}
+	a.log.WithFields(log.Fields{
+		"from": path.String(), "to": choice.Path.String(), "result": string(result), "unfit": strings.Join(unfit, ","),
+	}).Info("stream moved")
 	if err != nil || result == OrderRefused {
 		release()
-		return false
+		for _, server := range unfit {
+			g.view.failed(server, false, g.now())
+		}
+		return unfit, false
 	}
 	if !w.replacePath(choice.Path) {
 		// The attempt ended meanwhile and took its path off the load itself.
 		release()
-		return false
+		return nil, false
 	}
 	g.view.endPath(a.service.Name, path, a.tokens)
-	return true
+	return nil, true
+}
+
+// unfitFor returns the engines for which a move from one path to another was
+// refused: the one that is named as missing, or the new ones, of which one has no
+// room.
+func unfitFor(from, to savorypath.Path, missing netip.AddrPort) []string {
+	if server := byAddress(to, missing); server != "" {
+		return []string{server}
+	}
+	var unfit []string
+	for _, h := range to {
+		if !slices.Contains(from, h) {
+			unfit = append(unfit, h.Server)
+		}
+	}
+	return unfit
 }
 
 // replacePath notes the path that a running attempt was moved to.
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -202,12 +202,11 @@
 	s.fail(e)
 }
 
-// memoryFree estimates when memory for another request is free: many run at
-// once, and the steps of a usual answer end some of them.
+// memoryFree estimates when memory for another request is free: by then the
+// requests that took it have ended. Callers who return sooner find it taken, and
+// have few tries.
 func (s *stream) memoryFree() time.Duration {
-	e := s.service.Engine
-	usual := time.Duration(e.UsualAnswer) * e.StepTime
-	return max(busyRetry, usual)
+	return max(busyRetry, s.g.view.answerTime(s.service.Name))
 }
 
 // mayGoOn reports whether the stream goes on with another chain.
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -96,6 +96,16 @@
 	return changes
 }
 
+// recall takes the copy of a list whose entries may have lapsed since.
+func (v *view) recall(l *savoryroster.Listing, now time.Time, cfg *savoryrouting.Config) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.roster.Apply(l, time.Time{}, now)
+	v.roster.Broken()
+	v.dirty = true
+	v.rebuild(cfg)
+}
+
 // configured takes a configuration.
 func (v *view) configured(cfg *savoryrouting.Config) {
 	v.mu.Lock()
@@ -161,6 +171,13 @@
 	return v.table(service).Gaps(r, now)
 }
 
+// answerTime estimates how long a usual answer of a service takes now.
+func (v *view) answerTime(service string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table(service).AnswerTime()
+}
+
 // endPath takes a request off the load of its chain.
 func (v *view) endPath(service string, p savorypath.Path, tokens int) {
 	v.mu.Lock()
@@ -309,13 +326,13 @@
 	return loads
 }
 
-// peerLoads takes what a peer has in flight.
-func (v *view) peerLoads(peer netip.AddrPort, loads []savorypath.Load, now time.Time) {
+// peerLoads takes what the peers have in flight.
+func (v *view) peerLoads(byPeer map[string][]savorypath.Load, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, t := range v.paths {
 		// Servers of other services are never looked up in this table.
-		t.SetPeer(peer.String(), loads, now)
+		t.SetPeers(byPeer, now)
 	}
 }
 
