Count loads through head changes; hold callers while an entry starts

Now draining heads are passed over, they tell the next head by themselves, and what the last head told counts until the next one knows its zone (pattern test, failed first: least counted 0 of 59).

--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -33,6 +33,34 @@
 	brokenRetry = 2 * time.Second
 )
 
+const (
+	// startHold is the longest wait for the first configuration and list, and
+	// startPart its part of the time that the caller has: a starting entry reads
+	// them in a moment if the store answers.
+	startHold = 500 * time.Millisecond
+	startPart = 0.25
+	// startLook is the pause between two looks for them.
+	startLook = 20 * time.Millisecond
+)
+
+// awaitStart waits for the first configuration and list of servers, unless the
+// store is known to be away.
+func (g *Gate) awaitStart(ctx context.Context, deadline time.Duration) {
+	wait := startHold
+	if deadline > 0 {
+		wait = min(wait, time.Duration(startPart*float64(deadline)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for (g.table.Load() == nil || !g.view.listed()) && !g.storeLost.Load() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(startLook):
+		}
+	}
+}
+
 // errDeadline ends a request whose time is over.
 var errDeadline = errors.New("the deadline has passed")
 
@@ -100,6 +128,10 @@
 	if err != nil {
 		return savoryverdict.Invalid("Header", "%v", err)
 	}
+	if c.table == nil || !c.g.view.listed() {
+		c.g.awaitStart(c.r.Context(), caller.Deadline)
+		c.table = c.g.table.Load()
+	}
 	if c.table == nil {
 		return savoryverdict.Unavailable("NoConfiguration", brokenRetry, "no configuration is known yet")
 	}
--- a/savoryentry/savorygate/loads.go
+++ b/savoryentry/savorygate/loads.go
@@ -17,6 +17,10 @@
 // is silent for longer have ended with it.
 const loadFresh = 2 * peerFresh
 
+// newHeadTime is the time in which the entries of a zone find out that their head
+// is lost and exchange news with the next one.
+const newHeadTime = peerFresh + 2*syncEvery
+
 // loadSum adds up loads by server.
 type loadSum map[string]savorypath.Load
 
@@ -52,6 +56,7 @@
 	r.addZone(sum, to, now)
 	if to.Zone == r.self.Zone {
 		r.addOtherZones(sum, now)
+		r.raise(sum, now)
 	}
 	return sum.all(), true
 }
@@ -71,26 +76,39 @@
 		return byPeer
 	}
 	sum := make(loadSum)
-	if r.head(now) && r.addZone(sum, savorypeer.Entry{}, now) {
-		r.addOtherZones(sum, now)
-	} else if p := r.relayer(r.self.Zone, now); p != nil {
-		// A new head goes by the last one's sum until it is told by its zone.
+	if p := r.relayer(r.self.Zone, now); p != nil && !r.head(now) {
 		sum.add(p.loads)
+		r.told, r.toldAt = p.loads, now
+	} else {
+		// A head, or one that has none any more or not yet.
+		r.addZone(sum, savorypeer.Entry{}, now)
+		r.addOtherZones(sum, now)
+		r.raise(sum, now)
 	}
 	byPeer["others"] = sum.all()
 	return byPeer
 }
 
-// addZone adds what the entries of the own zone have, but for one, and reports
-// whether there are any.
-func (r *relay) addZone(sum loadSum, but savorypeer.Entry, now time.Time) (any bool) {
+// raise lifts the sum to what the last head told, until its successor is told by
+// the zone.
+func (r *relay) raise(sum loadSum, now time.Time) {
+	if now.Sub(r.toldAt) > newHeadTime {
+		return
+	}
+	for _, l := range r.told {
+		if l.Memory > sum[l.Server].Memory {
+			sum[l.Server] = l
+		}
+	}
+}
+
+// addZone adds what the entries of the own zone have, but for one.
+func (r *relay) addZone(sum loadSum, but savorypeer.Entry, now time.Time) {
 	for _, p := range r.peers {
 		if p.entry.Zone == r.self.Zone && p.entry.Address != but.Address && !p.relayed && now.Sub(p.heardAt) < loadFresh {
 			sum.add(p.loads)
-			any = true
 		}
 	}
-	return any
 }
 
 // addOtherZones adds what the heads of the other zones told.
--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -19,17 +19,19 @@
 	all   map[netip.AddrPort]*relay
 	order []netip.AddrPort
 	gone  map[netip.AddrPort]bool
+	// draining are entries that stop as planned.
+	draining map[netip.AddrPort]bool
 }
 
 func newRelayFleet(zones, each int) *relayFleet {
-	f := &relayFleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), all: make(map[netip.AddrPort]*relay), gone: make(map[netip.AddrPort]bool)}
+	f := &relayFleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), all: make(map[netip.AddrPort]*relay), gone: make(map[netip.AddrPort]bool), draining: make(map[netip.AddrPort]bool)}
 	var seeds []savorypeer.Entry
 	for z := range zones {
 		for i := range each {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i + 1)}), 80)
 			e := savorypeer.Entry{Address: address, Zone: fmt.Sprint("z", z), Strength: float64(each-i) / 10}
 			f.all[address] = &relay{
-				self: e, peers: make(map[netip.AddrPort]*relayPeer), draining: func() bool { return false }, storeWorks: func() bool { return true },
+				self: e, peers: make(map[netip.AddrPort]*relayPeer), draining: func() bool { return f.draining[address] }, storeWorks: func() bool { return true },
 			}
 			f.order = append(f.order, address)
 			seeds = append(seeds, e)
@@ -45,7 +47,7 @@
 
 func (r *relay) tell(to savorypeer.Entry, now time.Time) *savorypeer.News {
 	loads, relayed := r.loadsFor(to, oneLoad, now)
-	return &savorypeer.News{From: r.self, StoreWorks: true, Entries: r.entries(now), Loads: loads, Relayed: relayed}
+	return &savorypeer.News{From: r.self, Draining: r.draining(), StoreWorks: true, Entries: r.entries(now), Loads: loads, Relayed: relayed}
 }
 
 // round lets every live relay exchange news with whom it chooses.
@@ -61,7 +63,9 @@
 			}
 			other := f.all[target]
 			other.heard(r.tell(other.self, f.now), f.now)
+			other.loads(f.now) // as news are taken
 			r.heard(other.tell(r.self, f.now), f.now)
+			r.loads(f.now)
 		}
 	}
 	f.now = f.now.Add(syncEvery)
@@ -129,3 +133,32 @@
 		}
 	}
 }
+
+// Pattern: a rolling release. Each head drains for seconds with its requests in
+// flight; all the while the others count nearly all that is in flight, so that
+// engines are not overfilled.
+func TestLoadsAreCountedWhileHeadsDrain(t *testing.T) {
+	is := is.New(t)
+	const zones, each = 3, 20
+	f := newRelayFleet(zones, each)
+	for range 20 {
+		f.round()
+	}
+	live := zones * each
+	for next := range 8 {
+		f.draining[f.order[next]] = true
+		for range 20 {
+			f.round()
+			least, most := f.others()
+			is.True(most <= live)
+			is.True(least >= live/2) // a new head hears its zone within a round
+		}
+		least, _ := f.others()
+		is.Equal(least, live-1) // what drains counts
+		f.gone[f.order[next]] = true
+		live--
+		for range 20 {
+			f.round()
+		}
+	}
+}
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -51,6 +51,9 @@
 	self  savorypeer.Entry
 	peers map[netip.AddrPort]*relayPeer
 	wake  chan struct{}
+	// told is the sum of loads that the head told last.
+	told   []savorypath.Load
+	toldAt time.Time
 	// draining and storeWorks are what this entry tells of itself.
 	draining   func() bool
 	storeWorks func() bool
@@ -219,7 +222,7 @@
 		}
 	} else {
 		chosen = r.heads(now)
-		if urgent && r.head(now) {
+		if urgent && (r.head(now) || r.draining()) {
 			for _, p := range r.peers {
 				if p.entry.Zone == r.self.Zone && p.fresh(now) {
 					chosen = append(chosen, p)
@@ -250,9 +253,13 @@
 		})
 		silent := 0
 		for _, p := range peers {
-			if own && !before(p.entry, r.self) {
+			if own && !before(p.entry, r.self) && !r.draining() {
 				break
 			}
+			if p.draining {
+				// It tells the next head by itself.
+				continue
+			}
 			if !p.believed(now) {
 				if silent == silentTries || now.Sub(p.triedAt) < missedEvery {
 					continue
