--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -35,6 +35,9 @@
 	// continuingAt is that part for streams that lost their chain: work was done
 	// for them, and their callers leave within two seconds.
 	continuingAt = 1.35
+	// movedAt is that part for moved requests: their new parts take the memory of
+	// all tokens so far at once.
+	movedAt = 1.0
 	// hopCost is the time of a hop inside a zone.
 	hopCost = 200 * time.Microsecond
 	// unseenTime is the time in which peers' reports catch up with what they send.
@@ -253,10 +256,15 @@
 
 // load returns the whole load of an engine with what peers are expected to have
 // sent since they told.
-func (t *Table) load(server string, now time.Time) Load {
+func (t *Table) load(server string, moved bool, now time.Time) Load {
 	l := t.total[server]
+	unseen := unseenPart * float64(len(t.peers))
+	if moved {
+		// A lost engine moves the requests of all entries at the same moment.
+		unseen = float64(max(len(t.peers), t.Entries-1))
+	}
 	if grown := t.grown[server]; grown != nil {
-		l.Memory += max(0, grown.value(now)) * unseenPart * float64(len(t.peers))
+		l.Memory += max(0, grown.value(now)) * unseen
 	}
 	if own := t.own[server]; own != nil {
 		l.Requests += own.Requests
@@ -408,7 +416,7 @@
 }
 
 func (t *Table) candidate(e *Engine, r Request, now time.Time) candidate {
-	l := t.load(e.ID, now)
+	l := t.load(e.ID, r.Keep != nil, now)
 	room := t.engine.Room(e.Kind, e.Holds.Count())
 	fill := 1.0
 	if room > 0 {
@@ -425,7 +433,10 @@
 	}
 	wait := hopCost.Seconds() + waitPart*perLayer*float64(e.Holds.Count())
 	most := fullAt
-	if r.Continuing {
+	switch {
+	case r.Keep != nil:
+		most = movedAt
+	case r.Continuing:
 		most = continuingAt
 	}
 	// A kept part has its memory already.
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -255,3 +255,48 @@
 		}
 	})
 }
+
+// Pattern: an engine is lost while its zone is busy, and all entries move its
+// requests at once. No more go to the engine that is left than it has memory for;
+// the others are told to look elsewhere.
+func TestMovesDoNotOverfillTheEngineThatIsLeft(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	const entries, streams, tokens = 60, 600, 800
+	room := m.Room(m.Accelerator("slow"), 10)
+	moved, refused := 0, 0
+	for i := range entries {
+		table := &Table{Zone: "a", Rand: rand.New(rand.NewPCG(uint64(i), 1)), Entries: entries}
+		var engines []Engine
+		for unit := range 8 {
+			engines = append(engines, engine(m, fmt.Sprintf("e%d0", unit), "a", "slow", unit*10, unit*10+10), engine(m, fmt.Sprintf("e%d1", unit), "a", "slow", unit*10, unit*10+10))
+		}
+		table.SetEngines(m, engines)
+		// Each engine is half full with the others' requests.
+		var loads []Load
+		for _, e := range engines {
+			loads = append(loads, Load{Server: e.ID, Requests: 100, Memory: 0.5 * room})
+		}
+		table.SetPeers(map[string][]Load{"others": loads}, begin)
+		for range streams / entries {
+			old, err := table.Choose(Request{Tokens: tokens}, begin)
+			is.NoErr(err)
+			if !old.Path.Uses("e40") {
+				continue
+			}
+			choice, err := table.Choose(Request{
+				Tokens: tokens, First: old.Path[0].Server, Keep: old.Path, Continuing: true, Avoid: func(id string) bool { return id == "e40" },
+			}, begin.Add(time.Second))
+			if err != nil {
+				refused++
+				continue
+			}
+			is.True(choice.Path.Uses("e41"))
+			table.Began(choice.Path, tokens, begin.Add(time.Second))
+			moved++
+		}
+	}
+	is.True(moved > 0)
+	is.True(0.5+float64(moved*tokens*10)/room <= continuingAt) // half was taken before
+	is.True(refused+moved > 100)
+}
--- a/savoryentry/savorygate/kept.go
+++ b/savoryentry/savorygate/kept.go
@@ -34,8 +34,8 @@
 func (g *Gate) keepList(ctx context.Context, k *keptList) {
 	listing, _ := g.view.listing(g.now())
 	kept := listing.Kept()
-	print := kept.Print()
-	if print == k.print || len(kept.Servers) == 0 {
+	fingerprint := kept.Print()
+	if fingerprint == k.print || len(kept.Servers) == 0 {
 		return
 	}
 	body, err := savorywire.Encode(kept)
@@ -44,7 +44,7 @@
 	}
 	if err != nil {
 		g.Log.WithError(err).Warn("copy of the list not kept")
-		k.print = print
+		k.print = fingerprint
 		return
 	}
 	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: keptKey, Old: k.revision, Body: body})
@@ -57,7 +57,7 @@
 		k.revision = result.Current.Revision
 		return
 	}
-	k.print, k.revision = print, result.Revision
+	k.print, k.revision = fingerprint, result.Revision
 	g.Log.WithFields(log.Fields{"servers": len(kept.Servers), "listRevision": kept.Revision, "revision": result.Revision}).Debug("copy of the list kept")
 }
 
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -245,38 +245,43 @@
 func (r *relay) heads(now time.Time) []*relayPeer {
 	byZone := make(map[string][]*relayPeer)
 	for _, p := range r.peers {
-		byZone[p.entry.Zone] = append(byZone[p.entry.Zone], p)
+		// Of the own zone only those before this entry can be its head; one that
+		// stops looks for any.
+		if p.entry.Zone != r.self.Zone || before(p.entry, r.self) || r.draining() {
+			byZone[p.entry.Zone] = append(byZone[p.entry.Zone], p)
+		}
 	}
 	head := r.head(now)
 	var chosen []*relayPeer
 	for zone, peers := range byZone {
-		own := zone == r.self.Zone
-		if !own && !head && zone != "" {
-			continue
+		if zone == r.self.Zone || head || zone == "" {
+			chosen = append(chosen, firstOfZone(peers, now)...)
 		}
-		slices.SortFunc(peers, func(a, b *relayPeer) int {
-			return cmp.Or(cmp.Compare(b.entry.Strength, a.entry.Strength), a.entry.Address.Compare(b.entry.Address))
-		})
-		tries := 0
-		for _, p := range peers {
-			if own && !before(p.entry, r.self) && !r.draining() {
-				break
-			}
-			if p.draining && p.fresh(now) {
-				// It tells the next head by itself. Once it is silent it may have
-				// been started anew.
-				continue
-			}
-			if !p.fresh(now) {
-				if tries == silentTries || p.triedLately(now) {
-					continue
-				}
-				tries++
-			}
+	}
+	return chosen
+}
+
+// firstOfZone returns the first peer of a zone that was heard lately, and before
+// it a few that are silent.
+func firstOfZone(peers []*relayPeer, now time.Time) []*relayPeer {
+	slices.SortFunc(peers, func(a, b *relayPeer) int {
+		return cmp.Or(cmp.Compare(b.entry.Strength, a.entry.Strength), a.entry.Address.Compare(b.entry.Address))
+	})
+	var chosen []*relayPeer
+	tries := 0
+	for _, p := range peers {
+		switch {
+		case p.fresh(now) && p.draining:
+			// It tells the next head by itself. Once it is silent it may have been
+			// started anew.
+		case p.fresh(now):
 			chosen = append(chosen, p)
-			if p.fresh(now) && zone != "" {
-				break
+			if p.entry.Zone != "" {
+				return chosen
 			}
+		case tries < silentTries && !p.triedLately(now):
+			chosen = append(chosen, p)
+			tries++
 		}
 	}
 	return chosen
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -263,7 +263,7 @@
 	case s.mayHaveRun:
 		s.fail(savoryverdict.Wrap(a.err))
 	default:
-		e := savoryverdict.Unavailable("Busy", busyRetry, "the chains of service %s are busy", s.service.Name)
+		e := savoryverdict.Unavailable("Busy", s.memoryFree(), "the chains of service %s are busy", s.service.Name)
 		e.Err = a.err
 		s.fail(e)
 	}
