--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,12 @@
 	path    string
 	level   string
 	text    string
+	// outcome, code, late and first describe the end of a request; first is -1 if
+	// no answer began.
+	outcome string
+	code    string
+	late    bool
+	first   time.Duration
 }
 
 // runExplain prints a request's life in order of time, with the changes of
@@ -43,6 +50,16 @@
 		fmt.Fprintln(s.errOut, "usage: savoryctl explain ID [FILE...]; without a file the logs are read from standard input")
 		return errUsage
 	}
+	lines, err := readLogs(s, "explain", args[1:])
+	if err != nil {
+		return err
+	}
+	return explain(s.out, args[0], lines)
+}
+
+// readLogs reads files, or standard input without any, and tells how many lines
+// cannot be read.
+func readLogs(s *session, command string, names []string) ([]logLine, error) {
 	var lines []logLine
 	bad := 0
 	read := func(r io.Reader, name string) error {
@@ -53,25 +70,25 @@
 		}
 		return nil
 	}
-	if len(args) == 1 {
+	if len(names) == 0 {
 		if err := read(os.Stdin, "standard input"); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	for _, name := range args[1:] {
+	for _, name := range names {
 		f, err := os.Open(name)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		err = read(f, name)
 		if err = errors.Join(err, f.Close()); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	if bad > 0 {
-		fmt.Fprintf(s.errOut, "savoryctl explain: %d lines cannot be read\n", bad)
+		fmt.Fprintf(s.errOut, "savoryctl %s: %d lines cannot be read\n", command, bad)
 	}
-	return explain(s.out, args[0], lines)
+	return lines, nil
 }
 
 // readLog reads the lines of a log. Text in front of the first pair, such as a
@@ -105,7 +122,7 @@
 	if begin < 0 {
 		return logLine{}, errNoLogLine
 	}
-	var l logLine
+	l := logLine{first: -1}
 	if front := strings.Fields(text[:begin]); len(front) > 0 {
 		l.vm = front[len(front)-1]
 	}
@@ -141,6 +158,16 @@
 		l.path = value
 	case "level":
 		l.level = value
+	case "outcome":
+		l.outcome = value
+	case "code":
+		l.code = value
+	case "late":
+		l.late = value == "true"
+	case "firstMs":
+		if ms, err := strconv.Atoi(value); err == nil {
+			l.first = time.Duration(ms) * time.Millisecond
+		}
 	}
 }
 
--- a/savoryctl/main.go
+++ b/savoryctl/main.go
@@ -55,6 +55,7 @@
 		{"pipelines", "", "show the pipelines and their layer cover", runPipelines},
 		{"leave", "SERVER", "stop new work for a backend server, or allow it again", runLeave},
 		{"explain", "ID", "tell a request's life and the cause of its end from logs", runExplain},
+		{"report", "FILE...", "write a page with the ends of requests and changes of belief over time", runReport},
 		{"drain", "", "begin the planned stop of an entry", runDrain},
 	}
 }
