--- a/savorycore/savoryplacement/tenure.go
+++ b/savorycore/savoryplacement/tenure.go
@@ -71,7 +71,8 @@
 // Held reports whether the entry holds the lease.
 func (t *Tenure) Held() bool { return t.held }
 
-// Next returns what to do now.
+// Next returns what to do now. After TenureRenew the result of the renewal is told
+// by Granted, Lapsed or Unanswered, after TenureTake a success by Granted.
 func (t *Tenure) Next(w Witness, now time.Time) Step {
 	switch {
 	case t.held && now.Before(t.renewAt) && now.Before(t.until):
--- a/savoryctl/report.go
+++ b/savoryctl/report.go
@@ -26,8 +26,11 @@
 	plotHeight = 160
 )
 
-// The classes of ends, from the bottom of a bar to its top, and their colours.
-var reportClasses = []struct{ Name, Colour string }{
+// reportClass is a class of ends with its colour.
+type reportClass struct{ Name, Colour string }
+
+// The classes of ends, from the bottom of a bar to its top.
+var reportClasses = []reportClass{
 	{"in time", "#4a8f5a"}, {"late", "#d9a441"}, {"failed", "#b8443c"}, {"cut or left", "#6b5b95"},
 }
 
@@ -204,14 +207,25 @@
 </body></html>
 `))
 
+// reportView is what the page's template reads.
+type reportView struct {
+	Step          time.Duration
+	SampledOf     int
+	Classes       []reportClass
+	Width, Height int
+	Ends, Firsts  []rect
+	Codes         []codeCount
+	Events        []reportEvent
+}
+
 // write writes the page.
 func (r *dayReport) write(w io.Writer) error {
 	var codes []codeCount
 	for _, code := range slices.Sorted(maps.Keys(r.codes)) {
 		codes = append(codes, codeCount{code, r.codes[code]})
 	}
-	return reportPage.Execute(w, map[string]any{
-		"Step": r.step, "SampledOf": sampledOf, "Classes": reportClasses, "Width": len(r.bars) * barWidth, "Height": plotHeight,
-		"Ends": r.plot(), "Firsts": r.firsts(), "Codes": codes, "Events": r.events,
+	return reportPage.Execute(w, reportView{
+		Step: r.step, SampledOf: sampledOf, Classes: reportClasses, Width: len(r.bars) * barWidth, Height: plotHeight,
+		Ends: r.plot(), Firsts: r.firsts(), Codes: codes, Events: r.events,
 	})
 }
--- a/savoryentry/savorygate/kept.go
+++ b/savoryentry/savorygate/kept.go
@@ -1,8 +1,8 @@
 package savorygate
 
-// This file keeps a copy of the list of servers in the store. Entries of the
-// platform's list lapse while the store is away, and stand there again only a
-// while after its return; entries that have started meanwhile know no other.
+// This file keeps a copy of the list of servers in the store. What servers write
+// into the platform's list lapses while the store is away and is back only some
+// seconds after its return; a gate that has started meanwhile knows no older list.
 
 import (
 	"context"
@@ -61,8 +61,9 @@
 	g.Log.WithFields(log.Fields{"servers": len(kept.Servers), "listRevision": kept.Revision, "revision": result.Revision}).Debug("copy of the list kept")
 }
 
-// recallList takes the copy before the first reading of an entry: what the list
-// lacks may have lapsed while the store was away, before this entry started.
+// recallList takes the copy before this entry's first reading of the list: servers
+// that the list lacks may have lapsed while the store was away, before the entry
+// started. They are dropped soon if they do not come back.
 func (g *Gate) recallList(ctx context.Context) {
 	if g.view.listed() || g.Settings().FirstStart && !g.storeLost.Load() {
 		return
