Drop servers that left at once while others read the list

While the store turns some VMs away, an entry whose own calls fail took every server that left the list for one that may have lapsed, kept it for 2.5 s, anew with each failed call, and as the head of its zone handed it on. Now a missing server is kept only if nobody read the list for two seconds (test failed first: kept after 0.9 s).

savoryctl explain tells the error of a failure whose end was sampled away, and that a caller left before the failure that it left for.

--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -23,6 +23,11 @@
 // come back: servers register again within two heartbeats.
 const returnTime = 2500 * time.Millisecond
 
+// lapseLeast is the least time without a reading after which entries may have
+// lapsed: they do after three heartbeats of silence. While others read the list the
+// store is not away, and what is missing has left.
+const lapseLeast = 2 * time.Second
+
 // goneKept is how long a server that left is remembered, so that a late list
 // does not bring it back.
 const goneKept = time.Minute
@@ -138,7 +143,8 @@
 	return s.Born.Before(g.born) || s.Born.Equal(g.born) && (s.Beat <= g.beat || s.Leaving)
 }
 
-// Broken records that the store could not be read: entries may lapse.
+// Broken records that the store could not be read: entries may lapse if nobody else
+// reads it.
 func (r *Roster) Broken() { r.broken = true }
 
 // Revision returns the store's revision of the newest listing.
@@ -157,10 +163,10 @@
 	if l.Revision < r.revision {
 		return nil
 	}
-	if r.broken {
-		r.broken = false
+	if r.broken && readAt.Sub(r.appliedAt) >= lapseLeast {
 		r.returnAt = now
 	}
+	r.broken = false
 	r.revision = l.Revision
 	if readAt.After(r.appliedAt) {
 		r.appliedAt = readAt
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -136,3 +136,33 @@
 	h.Succeeded("a")
 	is.True(!h.Avoided("a", second))
 }
+
+// Pattern: the store turns one entry away while others read it. What leaves the
+// list is gone at once; it is kept only if nobody read the list for so long that
+// entries may have lapsed.
+func TestOnlyLongGapsKeepMissingServers(t *testing.T) {
+	is := is.New(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	both := &Listing{Revision: 1, Servers: []Server{{ID: "a", Beat: 1}, {ID: "b", Beat: 1}}}
+	one := &Listing{Revision: 2, Servers: []Server{{ID: "a", Beat: 2}}}
+	for _, c := range []struct {
+		gap  time.Duration
+		kept bool
+	}{{900 * time.Millisecond, false}, {1700 * time.Millisecond, false}, {4 * time.Second, true}} {
+		var r Roster
+		r.Apply(both, start, start)
+		r.Broken()
+		now := start.Add(c.gap)
+		r.Apply(one, now, now)
+		_, ok := r.Server("b")
+		is.Equal(ok, c.kept)
+		r.Broken() // again, while others go on reading
+		now = now.Add(900 * time.Millisecond)
+		r.Apply(one, now, now)
+		r.Broken()
+		now = now.Add(returnTime)
+		r.Apply(one, now.Add(-time.Second), now)
+		_, ok = r.Server("b")
+		is.True(!ok)
+	}
+}
--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -257,19 +257,31 @@
 	return rest
 }
 
-// cause returns what the last line of a request gives as its cause.
+// cause returns what the last line of a request gives as its cause. The end of a
+// request may be sampled away; then its last failure is the cause.
 func cause(l logLine) string {
 	d := logfmt.NewDecoder(strings.NewReader(l.text))
-	outcome := l.message
+	why, failure := "", ""
 	for d.ScanRecord() {
 		for d.ScanKeyval() {
 			switch string(d.Key()) {
 			case "cause":
-				return string(d.Value())
-			case "outcome":
-				outcome = string(d.Value())
+				why = string(d.Value())
+			case "error":
+				failure = string(d.Value())
 			}
 		}
 	}
-	return outcome
+	switch {
+	case l.outcome != "" && l.outcome != "failed" && why != "":
+		// The caller left or the answer was cut: the failure came before.
+		return l.outcome + "; " + why
+	case why != "":
+		return why
+	case l.outcome != "":
+		return l.outcome
+	case failure != "":
+		return l.message + ": " + failure
+	}
+	return l.message
 }
