--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -179,11 +179,16 @@
 			changes = append(changes, change)
 		}
 	}
+	return append(changes, r.drop(seen, now)...)
+}
+
+// drop takes the servers that a listing lacks for gone, unless they may have
+// lapsed.
+func (r *Roster) drop(seen map[string]bool, now time.Time) []Change {
+	var changes []Change
+	mayHaveLapsed := !r.returnAt.IsZero() && now.Sub(r.returnAt) < returnTime
 	for id, e := range r.servers {
-		if seen[id] {
-			continue
-		}
-		if now.Sub(r.returnAt) < returnTime && !r.returnAt.IsZero() && !e.Leaving {
+		if seen[id] || mayHaveLapsed && !e.Leaving {
 			continue
 		}
 		delete(r.servers, id)
