Give entries that have just started little of the retry budget's slack

A new entry that had heard nobody counted one live entry, itself, and took the whole slack, and none knew what was spent before its start. The flaw is old; it shows since entries serve at once after their start.

Ruled out: wrong shares in the running fleet; the window ends 1 s after the restart.

--- a/savorycore/savorylimit/window.go
+++ b/savorycore/savorylimit/window.go
@@ -62,3 +62,22 @@
 		b.requests[b.index()], b.retries[b.index()] = 0, 0
 	}
 }
+
+// countTime is the time after its start in which an entry finds out how many live
+// entries there are: peers that start together hear of each other within it.
+const countTime = 2 * time.Second
+
+// SlackShare returns an entry's share of the slack of a retry budget. One that has
+// just started has none, since it does not know how many live entries share it,
+// and a quarter of it until a window has passed: its share may have been spent
+// before it started anew, and entries use four fifths of the operators' slack.
+func SlackShare(slack float64, live int, age, window time.Duration) float64 {
+	share := slack / float64(max(1, live))
+	switch {
+	case age < countTime:
+		return 0
+	case age < window:
+		return share / 4
+	}
+	return share
+}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -306,7 +306,7 @@
 	s := g.Settings()
 	live := g.relay.live(g.now())
 	g.view.setEntries(live)
-	slack := budgetPart * s.RetrySlack / float64(live)
+	slack := savorylimit.SlackShare(budgetPart*s.RetrySlack, live, g.now().Sub(g.startedAt), s.RetryWindow)
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
 	if cfg := g.config(); cfg != nil {
