--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -63,6 +63,9 @@
 	// zones that chains over several zones may use. All these chains share the
 	// link, and it may be slow.
 	maxCrossZoneBandwidthFraction = 0.25
+	// maxAdmissionGrowth bounds the growth of the admitted fraction of chains
+	// over several zones at each report of the peers.
+	maxAdmissionGrowth = 1.25
 	// queueWaitFraction is the fraction of an engine's pass time that a request
 	// waits for its turn at each hop.
 	queueWaitFraction = 0.25
@@ -103,6 +106,11 @@
 	First int
 }
 
+// CrossZoneLink is the Server of the Load that reports how much an entry recently
+// sent over the link between zones. Its Memory is a sum of tokens, each counted
+// once for each hop into another zone.
+const CrossZoneLink = "link between zones"
+
 // Table holds the engines of one service and their load. Its exported fields
 // are set before its first use.
 type Table struct {
@@ -125,8 +133,13 @@
 	growth map[string]*decayingSum
 	// smoothedPass is the exponential average of the pass times of the chosen
 	// chains, in seconds; 0 before the first choice.
-	smoothedPass    float64
-	crossZoneTokens decayingSum
+	smoothedPass float64
+	// crossZoneTokens is the number of tokens that this entry recently sent
+	// between zones, and crossZoneAdmission the fraction of the chains over
+	// several zones that it admits.
+	crossZoneTokens    decayingSum
+	crossZoneAdmission float64
+	admissionChangedAt time.Time
 }
 
 // decayingSum is a sum that decays exponentially with the time constant
@@ -199,12 +212,16 @@
 			t.peerTotals[l.Server] = s
 		}
 	}
+	t.adjustCrossZoneAdmission(now)
 }
 
 // OwnLoads returns the loads that this entry has in flight, in no particular
-// order.
-func (t *Table) OwnLoads() []Load {
-	loads := make([]Load, 0, len(t.ownLoads))
+// order, and its recent traffic between zones.
+func (t *Table) OwnLoads(now time.Time) []Load {
+	loads := make([]Load, 0, len(t.ownLoads)+1)
+	if sent := math.Floor(t.crossZoneTokens.value(now)); sent > 0 {
+		loads = append(loads, Load{Server: CrossZoneLink, Memory: sent})
+	}
 	for _, l := range t.ownLoads {
 		if l.Requests > 0 {
 			loads = append(loads, *l)
@@ -236,16 +253,68 @@
 	return n
 }
 
+// crossZoneBudget returns the number of tokens that all entries together may send
+// between zones in unreportedWindow, or 0 if the bandwidth is unknown.
+func (t *Table) crossZoneBudget() float64 {
+	e := t.engine
+	if e == nil || e.PipeMbps <= 0 || e.ActivationBytes <= 0 {
+		return 0
+	}
+	const bitsPerMbit = 1e6
+	return maxCrossZoneBandwidthFraction * e.PipeMbps * bitsPerMbit / 8 / float64(e.ActivationBytes) * unreportedWindow.Seconds()
+}
+
 // crossZoneLinkFree reports whether the link between zones has bandwidth for
-// another request of tokens. It assumes that each peer sends as much over the
-// link as this entry.
+// another number of tokens. The bound holds for the reported traffic of all
+// entries.
 func (t *Table) crossZoneLinkFree(tokens int, now time.Time) bool {
-	e := t.engine
-	if e.PipeMbps <= 0 {
-		return true
+	budget := t.crossZoneBudget()
+	return budget == 0 || t.crossZoneSent(now)+float64(tokens) <= budget
+}
+
+// crossZoneSent returns the number of tokens that all entries recently sent
+// between zones, as far as they are reported.
+func (t *Table) crossZoneSent(now time.Time) float64 {
+	return t.crossZoneTokens.value(now) + t.peerTotals[CrossZoneLink].Memory
+}
+
+// admitCrossZone decides at random whether a new request may use a chain over
+// several zones. Reports of the peers lag, so each entry admits only a fraction
+// of its requests, which shrinks while the reported traffic exceeds its bound.
+func (t *Table) admitCrossZone() bool {
+	return t.Rand == nil || t.Rand.Float64() < t.crossZoneFraction()
+}
+
+// crossZoneFraction returns the fraction of the chains over several zones that
+// this entry admits. Before the first report it is the least fraction.
+func (t *Table) crossZoneFraction() float64 {
+	return max(t.crossZoneAdmission, t.leastCrossZoneFraction())
+}
+
+// leastCrossZoneFraction returns the fraction with which one request of usual
+// size from each entry fits the bound.
+func (t *Table) leastCrossZoneFraction() float64 {
+	usual := max(1, t.engine.UsualPrompt+t.engine.UsualAnswer)
+	budget := t.crossZoneBudget()
+	if budget == 0 {
+		return 1
 	}
-	bytes := (t.crossZoneTokens.value(now) + float64(tokens)) * float64(e.ActivationBytes) * float64(1+len(t.peerLoads))
-	return bytes*8/1e6/unreportedWindow.Seconds() <= maxCrossZoneBandwidthFraction*e.PipeMbps
+	return min(1, budget/float64(usual*max(1, t.Entries)))
+}
+
+// adjustCrossZoneAdmission adapts the admitted fraction to the reported traffic
+// between zones, once in unreportedWindow: sooner the reports do not yet include
+// the effect of the last change.
+func (t *Table) adjustCrossZoneAdmission(now time.Time) {
+	if t.engine == nil || now.Sub(t.admissionChangedAt) < unreportedWindow {
+		return
+	}
+	t.admissionChangedAt = now
+	factor := maxAdmissionGrowth
+	if sent := t.crossZoneSent(now); sent > 0 {
+		factor = min(factor, t.crossZoneBudget()/sent)
+	}
+	t.crossZoneAdmission = min(1, t.crossZoneFraction()*factor)
 }
 
 // RecordEnd records the end of a request. The chain and tokens are those given
@@ -369,9 +438,11 @@
 	}
 	all, byZone, full := t.candidates(r, now)
 	best, cost := t.cheapestInOneZone(byZone, r)
-	if best.Chain == nil && r.AllowCrossZone && t.crossZoneLinkFree(r.Tokens, now) {
+	if best.Chain == nil && r.AllowCrossZone && t.crossZoneLinkFree(r.Tokens, now) && (r.Continuing || t.admitCrossZone()) {
 		chain, c, fill := t.search(all, r, t.Zone)
-		best, cost = Choice{Chain: chain, Fill: fill}, c
+		if t.crossZoneLinkFree(r.Tokens*t.zoneCrossings(chain), now) {
+			best, cost = Choice{Chain: chain, Fill: fill}, c
+		}
 	}
 	switch {
 	case best.Chain == nil && full:
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -108,6 +108,68 @@
 	is.True(mbit <= maxCrossZoneBandwidthFraction*m.PipeMbps*unreportedWindow.Seconds())
 }
 
+// Pattern: the zones lack different layers for some seconds, so that only chains
+// over several zones are left, and the link between the zones bears a part of the
+// load. Each entry used to assume that all others send as much over the link as it
+// does itself, so that with nine entries a single usual prompt exceeded the bound
+// and no chain over several zones was ever chosen. The entries together use the
+// bandwidth that they may use, and at most a little more.
+func TestFleetUsesCrossZoneBandwidth(t *testing.T) {
+	for _, entries := range []int{3, 9, 60, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			is := is.New(t)
+			m := testModel()
+			m.UsualPrompt, m.UsualAnswer = 760, 170
+			const tokens, seconds, perSecond = 930, 12, 120
+			tables := make([]*Table, entries)
+			for i := range tables {
+				tables[i] = &Table{Zone: "a", Entries: entries, Rand: rand.New(rand.NewPCG(3, uint64(i)))}
+				tables[i].SetEngines(m, []Engine{engine(m, "a1", "a", "fast", 0, 30), engine(m, "b1", "b", "fast", 30, 60), engine(m, "b2", "b", "fast", 60, 80)})
+			}
+			arrivals := rand.New(rand.NewPCG(4, 1))
+			mbit, now := 0.0, begin
+			const warmUp = 4 * time.Second
+			for n := range seconds * perSecond {
+				now = begin.Add(time.Duration(n) * time.Second / perSecond)
+				if n%(perSecond/4) == 0 {
+					exchangeLoads(tables, now)
+				}
+				table := tables[arrivals.IntN(entries)]
+				choice, err := table.Choose(Request{Tokens: tokens, AllowCrossZone: true}, now)
+				if err != nil {
+					continue
+				}
+				table.RecordStart(choice.Chain, tokens, now)
+				table.RecordEnd(choice.Chain, tokens, now)
+				if now.Sub(begin) >= warmUp {
+					mbit += tokens * float64(m.ActivationBytes) * 8 / 1e6
+				}
+			}
+			fraction := mbit / now.Sub(begin.Add(warmUp)).Seconds() / m.PipeMbps
+			t.Logf("%d entries use %.3f of the link", entries, fraction)
+			is.True(fraction > 0.5*maxCrossZoneBandwidthFraction)
+			is.True(fraction < 1.3*maxCrossZoneBandwidthFraction)
+		})
+	}
+}
+
+// exchangeLoads reports the loads of each entry to all others.
+func exchangeLoads(tables []*Table, now time.Time) {
+	loads := make([][]Load, len(tables))
+	for i, table := range tables {
+		loads[i] = table.OwnLoads(now)
+	}
+	for i, table := range tables {
+		byPeer := make(map[string][]Load)
+		for j := range tables {
+			if j != i {
+				byPeer[fmt.Sprint(j)] = loads[j]
+			}
+		}
+		table.SetPeers(byPeer, now)
+	}
+}
+
 // Guards against entries that all choose the same replica because they send at
 // once and their loads are exchanged with a lag. Each entry assumes that its
 // peers send as much as it does.
@@ -153,9 +215,9 @@
 	choice, err := table.Choose(Request{Tokens: 10}, begin)
 	is.NoErr(err)
 	table.RecordStart(choice.Chain, 10, begin)
-	is.Equal(len(table.OwnLoads()), 2)
+	is.Equal(len(table.OwnLoads(begin)), 2)
 	table.RecordEnd(choice.Chain, 10, begin)
-	is.Equal(len(table.OwnLoads()), 0)
+	is.Equal(len(table.OwnLoads(begin)), 0)
 }
 
 // Guards against a burst at an engine at which most chains begin. Engines bound
--- a/savorycore/savoryroster/health.go
+++ b/savorycore/savoryroster/health.go
@@ -36,18 +36,36 @@
 	// reportedAt is when the server was reported not to respond, by an engine, a peer
 	// or the entry's own check. A later heartbeat clears it.
 	reportedAt time.Time
+	// refusedUntil is until when a server that refused work is avoided.
+	refusedUntil time.Time
 }
 
-// RecordFailure records a failure and returns the time until which the server is
-// avoided.
-func (h *Health) RecordFailure(id string, now time.Time) time.Time {
+// state returns the state of a server and adds it if there is none.
+func (h *Health) state(id string) *healthState {
 	if h.states == nil {
 		h.states = make(map[string]*healthState)
 	}
-	s := h.states[id]
-	if s == nil || now.Sub(s.lastAt) > failureCountTTL {
-		s = &healthState{}
-		h.states[id] = s
+	if h.states[id] == nil {
+		h.states[id] = &healthState{}
+	}
+	return h.states[id]
+}
+
+// RecordRefusal records that a server responded at once that it does not take a
+// request, for instance because its memory is full. It is avoided for minBackoff,
+// but has not failed. RecordRefusal returns the end of that time.
+func (h *Health) RecordRefusal(id string, now time.Time) time.Time {
+	s := h.state(id)
+	s.refusedUntil = now.Add(minBackoff)
+	return s.refusedUntil
+}
+
+// RecordFailure records a failure and returns the time until which the server is
+// avoided.
+func (h *Health) RecordFailure(id string, now time.Time) time.Time {
+	s := h.state(id)
+	if now.Sub(s.lastAt) > failureCountTTL {
+		*s = healthState{refusedUntil: s.refusedUntil}
 	}
 	if now.Before(s.until) {
 		// Requests that were sent before the first failure fail together and count as one
@@ -82,12 +100,18 @@
 // RecordSuccess records a response of the server, which ends the avoidance.
 func (h *Health) RecordSuccess(id string) {
 	if s := h.states[id]; s != nil {
-		s.until, s.reportedAt = time.Time{}, time.Time{}
+		s.until, s.reportedAt, s.refusedUntil = time.Time{}, time.Time{}, time.Time{}
 	}
 }
 
-// Avoided reports whether a server is avoided at now.
+// Avoided reports whether a server is avoided at now, after a failure or a refusal.
 func (h *Health) Avoided(id string, now time.Time) bool {
+	s := h.states[id]
+	return s != nil && now.Before(s.refusedUntil) || h.Failing(id, now)
+}
+
+// Failing reports whether a server is avoided at now because it failed.
+func (h *Health) Failing(id string, now time.Time) bool {
 	s := h.states[id]
 	if s == nil {
 		return false
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -171,3 +171,20 @@
 		is.True(!ok)
 	}
 }
+
+// Pattern: all engines are nearly full for seconds, and now one, now another refuses a
+// request. Such an engine is passed over for a moment, and not taken for failed: its
+// layers would be given to others, which then give up theirs.
+func TestRefusalIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	var h Health
+	for n := range 10 {
+		now := begin.Add(time.Duration(n) * 500 * time.Millisecond)
+		is.Equal(h.RecordRefusal("a", now), now.Add(minBackoff)) // the time does not grow
+		is.True(h.Avoided("a", now))
+		is.True(!h.Failing("a", now))
+		is.True(!h.Avoided("a", now.Add(minBackoff)))
+	}
+	h.RecordFailure("a", begin.Add(5*time.Second))
+	is.True(h.Failing("a", begin.Add(5*time.Second)))
+}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -445,7 +445,7 @@
 }
 
 // Loads returns this entry's requests in flight at engines.
-func (g *Gate) Loads() []savorypath.Load { return g.view.ownLoads() }
+func (g *Gate) Loads() []savorypath.Load { return g.view.ownLoads(g.now()) }
 
 // InFlight returns the number of requests in flight.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -218,22 +218,22 @@
 		o.services[s.Name] = so
 	}
 	now := g.now()
-	servers, avoided := g.view.servers(s.Name, now)
+	servers, failing := g.view.servers(s.Name, now)
 	for _, server := range servers {
 		if so.RecentlyOrdered(server, now) {
-			delete(avoided, server.ID)
+			delete(failing, server.ID)
 		}
 	}
 	var engines []savoryplacement.Engine
 	for _, server := range servers {
-		if !avoided[server.ID] {
+		if !failing[server.ID] {
 			engines = append(engines, savoryplacement.Engine{
 				ID: server.ID, Zone: server.Zone, Accelerator: server.Accelerator, Holds: server.Holds,
 			})
 		}
 	}
 	if so.Replan(s.Engine, engines, now) {
-		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "unit": so.Plan().Unit, "placed": len(so.Plan().Layers), "failing": len(avoided)}).Info("plan changed")
+		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "unit": so.Plan().Unit, "placed": len(so.Plan().Layers), "failing": len(failing)}).Info("plan changed")
 		so.planChanged = true
 	}
 	if so.planChanged && g.storeWorks() {
@@ -241,7 +241,7 @@
 			g.Log.WithError(err).Warn("plan not stored")
 		}
 	}
-	for _, order := range so.Orders(s.Engine, servers, avoided, now) {
+	for _, order := range so.Orders(s.Engine, servers, failing, now) {
 		go g.giveOrder(s, order, anyHoldsLayers(servers))
 	}
 }
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -462,7 +462,7 @@
 	now := g.now()
 	listing, own := g.view.listForPeers(now)
 	cfg := g.config()
-	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(), now)
+	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
 	state := &savorypeer.SyncState{
 		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.entriesToReport(now), Loads: loads, Relayed: relayed,
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -231,7 +231,7 @@
 	if err != nil || result == OrderRefused {
 		release()
 		for _, server := range unfit {
-			g.view.recordFailure(server, false, g.now())
+			g.view.recordRefusal(server, g.now())
 		}
 		return unfit, false
 	}
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -289,6 +289,7 @@
 	chain    savorypath.Chain
 	choice   savorypath.Choice
 	cancel   context.CancelCauseFunc
+	sentAt   time.Time
 	response *savoryconn.Response
 	// errorBody is the body of a response that is not a stream.
 	errorBody []byte
@@ -327,6 +328,7 @@
 	req := a.newServerRequest(Forward{Server: first.Server, Chain: a.chain, LastEventID: a.events.lastID(a.caller.LastEventID)})
 	a.events.discardPartial()
 	a.g.recordSend(a.service.Name, a.countSend())
+	a.sentAt = a.g.now()
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
 	if err != nil {
 		a.recordError(ctx, err)
@@ -395,9 +397,13 @@
 			fault = a.chain[0].Server
 		}
 		a.avoidServer(fault)
-		// The engine may only be short of memory, so it is avoided for a
-		// short time.
-		a.g.view.recordFailure(fault, false, a.g.now())
+		if now := a.g.now(); now.Sub(a.sentAt) < a.g.Settings().StallTimeout {
+			// An engine that responds at once is short of memory or gives up its
+			// layers. Engines wait for a failed engine for the stall timeout.
+			a.g.view.recordRefusal(fault, now)
+		} else {
+			a.g.view.recordFailure(fault, false, now)
+		}
 		return
 	}
 	a.recordMayHaveRun(a.chain[0].Server)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -274,12 +274,20 @@
 	return v.health.RecordFailure(id, now)
 }
 
+// recordRefusal records that a server does not take a request, and returns the time
+// until which it is avoided.
+func (v *view) recordRefusal(id string, now time.Time) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.health.RecordRefusal(id, now)
+}
+
 // recordPeerFailure records a server failure that a peer reported. It returns
 // false if the server is avoided already or had a heartbeat since.
 func (v *view) recordPeerFailure(id string, at time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.health.Avoided(id, at) || !v.roster.HeartbeatAt(id).Before(at) {
+	if v.health.Failing(id, at) || !v.roster.HeartbeatAt(id).Before(at) {
 		return false
 	}
 	v.health.RecordReportedFailure(id, at)
@@ -337,12 +345,12 @@
 }
 
 // ownLoads returns this entry's requests in flight at engines.
-func (v *view) ownLoads() []savorypath.Load {
+func (v *view) ownLoads(now time.Time) []savorypath.Load {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var loads []savorypath.Load
 	for _, t := range v.chainTables {
-		loads = append(loads, t.OwnLoads()...)
+		loads = append(loads, t.OwnLoads(now)...)
 	}
 	return loads
 }
@@ -358,18 +366,18 @@
 }
 
 // servers returns the available servers of a service, and which of them are
-// avoided.
-func (v *view) servers(service string, now time.Time) (all []savoryroster.Server, avoided map[string]bool) {
+// failing.
+func (v *view) servers(service string, now time.Time) (all []savoryroster.Server, failing map[string]bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	all = v.roster.Available(service)
-	avoided = make(map[string]bool)
+	failing = make(map[string]bool)
 	for _, s := range all {
-		if v.health.Avoided(s.ID, now) {
-			avoided[s.ID] = true
+		if v.health.Failing(s.ID, now) {
+			failing[s.ID] = true
 		}
 	}
-	return all, avoided
+	return all, failing
 }
 
 // listForPeers returns the current list and its versions. The caller must not change the
