--- a/savorycore/savorypath/chain.go
+++ b/savorycore/savorypath/chain.go
@@ -41,9 +41,9 @@
 	return slices.ContainsFunc(c, func(h Hop) bool { return h.Server == server })
 }
 
-// layersOf returns the layers of the hop at the server, or the empty range if
+// LayersOf returns the layers of the hop at the server, or the empty range if
 // there is no such hop.
-func (c Chain) layersOf(server string) savoryworld.LayerRange {
+func (c Chain) LayersOf(server string) savoryworld.LayerRange {
 	for _, h := range c {
 		if h.Server == server {
 			return h.Layers
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -123,8 +123,11 @@
 	// any time.
 	Entries int
 
-	engine     *savoryrouting.Engine
-	engines    []Engine
+	engine  *savoryrouting.Engine
+	engines []Engine
+	// former are the engines that SetEngines no longer contains. They may still
+	// run the requests that they have, for instance while they drain.
+	former     map[string]formerEngine
 	ownLoads   map[string]*Load
 	peerLoads  map[string]peerLoad
 	peerTotals map[string]Load
@@ -169,13 +172,54 @@
 	at    time.Time
 }
 
+// formerEngineTTL is how long a former engine is kept. Engines that drain end
+// sooner.
+const formerEngineTTL = 30 * time.Second
+
+// formerEngine is an engine that is given no new work. since is the time of the
+// first choice of a chain without it.
+type formerEngine struct {
+	Engine
+	since time.Time
+}
+
 // SetEngines sets the engines that may be given new work and the service that
 // they run.
 func (t *Table) SetEngines(e *savoryrouting.Engine, engines []Engine) {
+	if t.former == nil {
+		t.former = make(map[string]formerEngine)
+	}
+	for _, old := range t.engines {
+		t.former[old.ID] = formerEngine{Engine: old}
+	}
+	for i := range engines {
+		delete(t.former, engines[i].ID)
+	}
 	t.engine = e
 	t.engines = engines
 }
 
+// currentEngines returns the former engines that run the request, with the layers
+// that they run for it, and removes those that are too old.
+func (t *Table) currentEngines(r Request, now time.Time) []*Engine {
+	var current []*Engine
+	for id, f := range t.former {
+		switch {
+		case f.since.IsZero():
+			f.since = now
+			t.former[id] = f
+		case now.Sub(f.since) > formerEngineTTL:
+			delete(t.former, id)
+			continue
+		}
+		if layers := r.CurrentChain.LayersOf(id); !layers.Empty() {
+			f.Holds = layers
+			current = append(current, &f.Engine)
+		}
+	}
+	return current
+}
+
 // SetPeer sets the load that a peer has in flight.
 func (t *Table) SetPeer(peer string, loads []Load, now time.Time) {
 	if t.peerLoads == nil {
@@ -241,6 +285,9 @@
 // zone.
 func (t *Table) zoneCrossings(chain Chain) int {
 	zones := make(map[string]string, len(t.engines))
+	for id, f := range t.former {
+		zones[id] = f.Zone
+	}
 	for i := range t.engines {
 		zones[t.engines[i].ID] = t.engines[i].Zone
 	}
@@ -398,7 +445,8 @@
 	FirstServer string
 	// CurrentChain is the chain of a running request that is moved; nil for other
 	// requests. Engines that keep their layers keep the memory of the request,
-	// other engines read all tokens so far.
+	// other engines read all tokens so far. Engines of the chain that are no longer
+	// given new work may keep their layers.
 	CurrentChain Chain
 	// Continuing states that the request had begun on another chain.
 	Continuing bool
@@ -462,8 +510,11 @@
 // at least one of them is full.
 func (t *Table) candidates(r Request, now time.Time) (all []candidate, byZone map[string][]candidate, full bool) {
 	byZone = make(map[string][]candidate)
+	engines := t.currentEngines(r, now)
 	for i := range t.engines {
-		e := &t.engines[i]
+		engines = append(engines, &t.engines[i])
+	}
+	for _, e := range engines {
 		if e.Holds.Empty() || e.Accelerator == nil || r.Avoid != nil && r.Avoid(e.ID) {
 			continue
 		}
@@ -528,7 +579,7 @@
 	if capacity > 0 {
 		fill = (l.Memory + float64(r.Tokens*e.Holds.Count())) / capacity
 	}
-	current := r.CurrentChain.layersOf(e.ID)
+	current := r.CurrentChain.LayersOf(e.ID)
 	perLayer := t.layerTime(e, l.Requests)
 	if current.Empty() {
 		// The time grows with the fill, since a full engine preempts requests.
--- a/savorycore/savorypath/table_test.go
+++ b/savorycore/savorypath/table_test.go
@@ -325,6 +325,32 @@
 	})
 }
 
+// Pattern: an engine that alone holds its layers leaves, and another engine of the
+// chain fails before the layers are loaded elsewhere. The leaving engine still runs
+// what it has, so only the failed engine is replaced.
+func TestMoveKeepsLeavingEngine(t *testing.T) {
+	is := is.New(t)
+	m := testModel()
+	table := &Table{Zone: "a"}
+	engines := []Engine{
+		engine(m, "f1", "a", "fast", 0, 30), engine(m, "s1", "a", "slow", 30, 50), engine(m, "f2", "a", "fast", 50, 80), engine(m, "f3", "a", "fast", 50, 80),
+	}
+	table.SetEngines(m, engines)
+	old, err := table.Choose(Request{Tokens: 100}, begin)
+	is.NoErr(err)
+	table.SetEngines(m, append(engines[:1:1], engines[2:]...)) // s1 leaves
+	failed := old.Chain[2].Server
+	move := Request{Tokens: 100, FirstServer: "f1", CurrentChain: old.Chain, Continuing: true, Avoid: func(id string) bool { return id == failed }}
+	moved, err := table.Choose(move, begin)
+	is.NoErr(err)
+	is.NoErr(moved.Chain.Check(80))
+	is.Equal(moved.Chain[:2], old.Chain[:2])
+	_, err = table.Choose(Request{Tokens: 100}, begin) // new requests do not use the leaving engine
+	is.True(errors.Is(err, ErrNoChain))
+	_, err = table.Choose(move, begin.Add(2*formerEngineTTL)) // by then it has ended
+	is.True(errors.Is(err, ErrNoChain))
+}
+
 // Guards against overfilling the remaining replica when an engine fails in a
 // busy zone and all entries move its requests at once. Moves beyond its memory
 // return an error.
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -152,9 +152,10 @@
 	if stalled == "" {
 		return false
 	}
-	until := g.view.recordFailure(stalled, true, g.now())
+	now := g.now()
+	until := g.view.recordStall(stalled, chain.LayersOf(stalled), now)
 	a.log.WithFields(log.Fields{
-		"server": stalled, "namedBy": first.Server, "avoidedMs": until.Sub(g.now()).Milliseconds(),
+		"server": stalled, "namedBy": first.Server, "avoidedMs": max(0, until.Sub(now).Milliseconds()), "gaveUp": until.IsZero(),
 	}).Info("engine stalls the stream")
 	if stalled != first.Server && w.move(chain, stalled) {
 		return true
@@ -337,18 +338,30 @@
 // streams of a leaving engine are moved. Until then they may still end there.
 const leaveDelayFraction = 0.3
 
-// moveStreamsOff moves the streams of a leaving engine to other engines.
+// leaveRetryInterval is the interval of the attempts to move the streams that
+// remain at a leaving engine: another engine may be loading its layers.
+const leaveRetryInterval = 300 * time.Millisecond
+
+// moveStreamsOff moves the streams of a leaving engine to other engines, until none
+// is left or the drain time has passed twice: leaving engines often serve longer
+// than the drain time.
 func (g *Gate) moveStreamsOff(server string) {
-	g.sleep(time.Duration(leaveDelayFraction * float64(g.Settings().DrainTime)))
-	for _, w := range g.streams.using(server) {
-		if w.ctx.Err() != nil {
-			continue
+	drain := g.Settings().DrainTime
+	end := g.now().Add(2 * drain)
+	g.sleep(time.Duration(leaveDelayFraction * float64(drain)))
+	for g.alive() && g.now().Before(end) {
+		remaining := g.streams.using(server)
+		if len(remaining) == 0 {
+			return
 		}
-		if w.move(w.currentChain(), server) {
-			w.mu.Lock()
-			w.lastEventAt = g.now()
-			w.mu.Unlock()
+		for _, w := range remaining {
+			if w.ctx.Err() == nil && w.move(w.currentChain(), server) {
+				w.mu.Lock()
+				w.lastEventAt = g.now()
+				w.mu.Unlock()
+			}
 		}
+		g.sleep(leaveRetryInterval)
 	}
 }
 
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -15,6 +15,7 @@
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 // failureSharingWindow is how long a server failure is passed on to peers. This
@@ -91,8 +92,12 @@
 	}
 	v.listChanged = true
 	for _, c := range changes {
-		if c.Kind == "restarted" || c.Kind == "gone" {
+		switch c.Kind {
+		case "restarted", "gone", "holds":
+			// An engine that carried out an order is alive: streams that waited for
+			// layers that it gave up may have reported it as failed.
 			v.health.Forget(c.Server.ID)
+			delete(v.sharedFailures, c.Server.ID)
 		}
 	}
 	for _, s := range l.Servers {
@@ -164,7 +169,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	avoid := r.Avoid
-	r.Avoid = func(id string) bool { return v.health.Avoided(id, now) || avoid != nil && avoid(id) }
+	r.Avoid = func(id string) bool {
+		if avoid != nil && avoid(id) {
+			return true
+		}
+		if r.CurrentChain.Uses(id) {
+			// An engine that refuses new requests continues those that it runs.
+			return v.health.Failing(id, now)
+		}
+		return v.health.Avoided(id, now)
+	}
 	t := v.table(service)
 	choice, err := t.Choose(r, now)
 	if err == nil {
@@ -265,15 +279,32 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if shareWithPeers {
-		if v.sharedFailures == nil {
-			v.sharedFailures = make(map[string]time.Time)
-		}
-		v.sharedFailures[id] = now
-		v.health.RecordReportedFailure(id, now)
+		return v.recordSharedFailure(id, now)
 	}
 	return v.health.RecordFailure(id, now)
 }
 
+func (v *view) recordSharedFailure(id string, now time.Time) time.Time {
+	if v.sharedFailures == nil {
+		v.sharedFailures = make(map[string]time.Time)
+	}
+	v.sharedFailures[id] = now
+	v.health.RecordReportedFailure(id, now)
+	return v.health.RecordFailure(id, now)
+}
+
+// recordStall records that a stream waits for the layers that a server runs for it.
+// It returns the time until which the server is avoided, or the zero time if the
+// server has not failed: after an order it no longer holds the layers.
+func (v *view) recordStall(id string, layers savoryworld.LayerRange, now time.Time) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s, ok := v.roster.Server(id); ok && s.Holds.Intersect(layers) != layers {
+		return time.Time{}
+	}
+	return v.recordSharedFailure(id, now)
+}
+
 // recordRefusal records that a server does not take a request, and returns the time
 // until which it is avoided.
 func (v *view) recordRefusal(id string, now time.Time) time.Time {
--- a/savoryentry/savorygate/view_test.go
+++ b/savoryentry/savorygate/view_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 // Two entries that report the same reading to each other with a delay must not make
@@ -37,3 +38,36 @@
 	_, known = b.listForPeers(now)
 	is.Equal(known.ListAge, time.Duration(0))
 }
+
+// Pattern: an engine is ordered to load the layers that a lost engine alone held, and
+// gives up its own at once. The streams that wait for the layers that it gave up name
+// it as the cause. It has not failed, and is used as soon as it holds the new layers.
+func TestEngineThatGaveUpLayersHasNotFailed(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	old, ordered := savoryworld.LayerRange{From: 50, To: 55}, savoryworld.LayerRange{From: 30, To: 35}
+	server := savoryroster.Server{ID: "e", Service: "s", Born: now, Holds: old, Beat: 1}
+	v := new(view)
+	v.applyList(&savoryroster.Listing{Revision: 1, Servers: []savoryroster.Server{server}}, reading{id: 1, at: now}, now, nil)
+	failing := func() bool {
+		_, failing := v.servers("s", now)
+		return failing["e"]
+	}
+	// A stream waits before this entry knows of the order.
+	is.True(!v.recordStall("e", old, now).IsZero())
+	is.True(failing())
+	now = now.Add(100 * time.Millisecond)
+	v.recordReport("e", Report{StartedAt: now.Add(-100 * time.Millisecond), OrderCount: 1, Busy: true}, nil)
+	// Other streams wait while it loads, and after it has loaded.
+	is.True(v.recordStall("e", old, now).IsZero())
+	now = now.Add(time.Second)
+	server.Holds, server.Orders, server.Beat = ordered, 1, 2
+	v.applyList(&savoryroster.Listing{Revision: 2, Servers: []savoryroster.Server{server}}, reading{id: 2, at: now}, now, nil)
+	is.True(!failing())
+	is.Equal(len(v.recentFailures(now)), 0)
+	is.True(v.recordStall("e", old, now).IsZero())
+	is.True(!failing())
+	// A stream that waits for layers that it does hold shows a failure.
+	is.True(!v.recordStall("e", ordered, now).IsZero())
+	is.True(failing())
+}
