Order what is read from the store by era and revision

The store may come back from a copy: revisions go back and are given out again, leases are gone. Golden files: new optional fields recorded on purpose.

--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -54,7 +54,7 @@
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
-			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98},
+			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults: []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
 			Config: &savoryrouting.Config{
@@ -80,7 +80,7 @@
 				},
 				Customers: []savoryrouting.Customer{{Name: "joiner", KeySHA256: []string{"aabb"}, Priority: new(1)}},
 			},
-			Listing: &savoryroster.Listing{Revision: 71, Servers: []savoryroster.Server{{
+			Listing: &savoryroster.Listing{Era: 3, Revision: 71, Servers: []savoryroster.Server{{
 				ID: "oak-1", Service: "timber", Address: address, Zone: "north-1", Leaving: true, Slots: 4, Born: at,
 				Holds: layers, Accelerator: "small", Busy: true, Beat: 17, Orders: 5, ReportedBeat: 16,
 			}}},
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -13,6 +13,7 @@
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 // Versions gives the versions of the state that the sender holds.
@@ -23,7 +24,11 @@
 	// of servers. ListAge is the time since the list was read from the store.
 	ListRevision int64
 	ListPrint    uint64
-	ListAge      time.Duration
+	// ListEra is the era of the store in which the list was read, StoreEra the
+	// newest era that the sender knows.
+	ListEra  int64 `msgpack:",omitempty"`
+	StoreEra int64 `msgpack:",omitempty"`
+	ListAge  time.Duration
 	// ListReading identifies that read. A receiver uses the age of each read only
 	// once: it subtracts ListAge from its own time of receipt, so every hop moves
 	// the time of the read forward by the delay of the message, and an age that
@@ -31,6 +36,11 @@
 	ListReading uint64
 }
 
+// ListPosition returns the store's position of the list of servers.
+func (v Versions) ListPosition() savoryworld.Position {
+	return savoryworld.Position{Era: v.ListEra, Revision: v.ListRevision}
+}
+
 // Entry is an entry that is live according to the sender.
 type Entry struct {
 	Address netip.AddrPort
--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -43,7 +43,9 @@
 	// before Replan.
 	ListedAt time.Time
 
-	plan            Plan
+	plan Plan
+	// keepHeld is set until the first replan after ResumeHeld.
+	keepHeld        bool
 	pending         map[string]pendingOrder
 	firstEngineAt   time.Time
 	lastNewEngineAt time.Time
@@ -63,6 +65,14 @@
 	o.seen = make(map[string]bool)
 }
 
+// ResumeHeld starts from a plan that may be older than the last orders: the store
+// was restored from a copy. Engines that hold layers keep them, as far as they fit
+// the units of the plan.
+func (o *Orderer) ResumeHeld(plan Plan) {
+	o.Resume(plan)
+	o.keepHeld = true
+}
+
 // Plan returns the plan in force.
 func (o *Orderer) Plan() Plan { return o.plan }
 
@@ -96,6 +106,10 @@
 	if o.plan.Unit == 0 && now.Sub(o.lastNewEngineAt) < settleDelay && now.Sub(o.firstEngineAt) < maxSettleDelay {
 		return false
 	}
+	if o.keepHeld && o.plan.Unit > 0 {
+		o.plan = o.plan.withHeld(engines)
+	}
+	o.keepHeld = false
 	next := Extend(e, o.plan, engines)
 	if next.Equal(o.plan) {
 		return false
--- a/savorycore/savoryplacement/plan.go
+++ b/savorycore/savoryplacement/plan.go
@@ -86,11 +86,26 @@
 	Unit int
 	// Layers maps the ID of an engine to its layers.
 	Layers map[string]savoryworld.LayerRange
+	// Era is the era of the store in which the plan was written; 0 if the store
+	// states none, or the plan was not written.
+	Era int64 `msgpack:",omitempty"`
 }
 
 // Equal reports whether two plans assign the same layers in the same units.
 func (p Plan) Equal(q Plan) bool { return p.Unit == q.Unit && maps.Equal(p.Layers, q.Layers) }
 
+// withHeld returns the plan with the layers that the engines hold in place of those
+// that it assigns to them. Layers that do not begin at a unit are not taken over.
+func (p Plan) withHeld(engines []Engine) Plan {
+	next := Plan{Unit: p.Unit, Layers: maps.Clone(p.Layers)}
+	for _, e := range engines {
+		if !e.Holds.Empty() && e.Holds.From%p.Unit == 0 {
+			next.Layers[e.ID] = e.Holds
+		}
+	}
+	return next
+}
+
 // planner holds the parameters of one call of New or Extend.
 type planner struct {
 	engine     *savoryrouting.Engine
--- a/savorycore/savoryroster/golden_test.go
+++ b/savorycore/savoryroster/golden_test.go
@@ -14,7 +14,7 @@
 	// that peers send and that the store keeps as a copy of the list. A process of
 	// another build then reads zero values.
 	savorygolden.Check(t, savorygolden.MessagePack, []savorygolden.Case{{Name: "listing", Value: &Listing{
-		Revision: 71,
+		Era: 3, Revision: 71,
 		Servers: []Server{{
 			ID: "oak-1", Service: "timber", Address: netip.MustParseAddrPort("10.0.0.1:8001"), Zone: "north-1",
 			Leaving: true, Slots: 4, Born: time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC),
--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -61,11 +61,17 @@
 
 // Listing is one reading of the platform's list of servers.
 type Listing struct {
-	// Revision is the store's revision at the time of the reading.
+	// Era and Revision are the store's position at the time of the reading.
+	Era      int64 `msgpack:",omitempty"`
 	Revision int64
 	Servers  []Server
 }
 
+// Position returns the store's position at the time of the reading.
+func (l *Listing) Position() savoryworld.Position {
+	return savoryworld.Position{Era: l.Era, Revision: l.Revision}
+}
+
 // heartbeatsPerFingerprint is the number of heartbeats of a server after which the
 // fingerprint changes even if nothing else does. A server that was reported as
 // failed is used again after a later heartbeat is read, so heartbeats must count.
@@ -85,7 +91,7 @@
 // registrations in the store have expired. It omits leaving servers and the fields
 // that change with each heartbeat.
 func (l *Listing) Snapshot() *Listing {
-	kept := &Listing{Revision: l.Revision}
+	kept := &Listing{Era: l.Era, Revision: l.Revision}
 	for _, s := range l.Servers {
 		if s.Leaving {
 			continue
@@ -120,7 +126,7 @@
 	servers map[string]*listedServer
 	// tombstones holds the last state of servers that left, by ID.
 	tombstones map[string]tombstone
-	revision   int64
+	position   savoryworld.Position
 	// lastReadAt is the time of the newest reading of the list. recoveredAt is when the
 	// first reading after an outage of the store was applied. readFailed is true if the
 	// last reading failed.
@@ -151,27 +157,32 @@
 // no other entry reads the list either.
 func (r *Roster) ReadFailed() { r.readFailed = true }
 
-// Revision returns the store's revision of the newest listing.
-func (r *Roster) Revision() int64 { return r.revision }
+// Position returns the store's position of the newest listing.
+func (r *Roster) Position() savoryworld.Position { return r.position }
 
 // ReadAt returns when the newest listing was read.
 func (r *Roster) ReadAt() time.Time { return r.lastReadAt }
 
 // Apply merges a listing that was read at readAt and returns the changes. A listing
-// with a lower revision than the last one changes nothing.
+// that precedes the last one in the store's history changes nothing. In the first
+// listing of a new era, registrations may be missing that were written after the copy
+// from which the store was restored; their servers write them again.
 func (r *Roster) Apply(l *Listing, readAt, now time.Time) []Change {
 	if r.servers == nil {
 		r.servers = make(map[string]*listedServer)
 		r.tombstones = make(map[string]tombstone)
 	}
-	if l.Revision < r.revision {
+	if l.Position().Before(r.position) {
 		return nil
 	}
+	if r.position.Era > 0 && l.Era > r.position.Era {
+		r.recoveredAt = now
+	}
 	if r.readFailed && readAt.Sub(r.lastReadAt) >= minExpiryGap {
 		r.recoveredAt = now
 	}
 	r.readFailed = false
-	r.revision = l.Revision
+	r.position = l.Position()
 	if readAt.After(r.lastReadAt) {
 		r.lastReadAt = readAt
 	}
@@ -310,11 +321,15 @@
 }
 
 // Listing returns the current state as a listing for a peer.
-func (r *Roster) Listing() *Listing { return &Listing{Revision: r.revision, Servers: r.All()} }
+func (r *Roster) Listing() *Listing {
+	return &Listing{Era: r.position.Era, Revision: r.position.Revision, Servers: r.All()}
+}
 
 // Confirm records that a reading of the store at readAt returned the same list.
-func (r *Roster) Confirm(revision int64, readAt time.Time) {
-	r.revision = max(r.revision, revision)
+func (r *Roster) Confirm(position savoryworld.Position, readAt time.Time) {
+	if r.position.Before(position) {
+		r.position = position
+	}
 	if readAt.After(r.lastReadAt) {
 		r.lastReadAt = readAt
 	}
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -61,7 +61,11 @@
 		}
 		switch words[0] {
 		case "list":
-			l := &Listing{Revision: atoi(t, words[1])}
+			era, revision, ok := strings.Cut(words[1], "/")
+			if !ok {
+				era, revision = "0", words[1]
+			}
+			l := &Listing{Era: atoi(t, era), Revision: atoi(t, revision)}
 			for _, w := range words[2:] {
 				l.Servers = append(l.Servers, parseServer(t, w))
 			}
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 // MaxTxnOps bounds the operations of one transaction, since the service bounds
@@ -58,6 +59,13 @@
 	Key      string
 	Body     []byte
 	Revision int64
+	// Era is the era of the service in which the key was read; 0 if it states none.
+	Era int64
+}
+
+// Position returns the position of the last change of the key.
+func (v Value) Position() savoryworld.Position {
+	return savoryworld.Position{Era: v.Era, Revision: v.Revision}
 }
 
 // Exists reports whether the key exists.
@@ -78,8 +86,10 @@
 // SwapResult is the outcome of a Swap.
 type SwapResult struct {
 	Applied bool
-	// Revision is the key's new revision if Applied is set.
+	// Revision is the key's new revision if Applied is set, Era the era of the
+	// service at the swap; 0 if it states none.
 	Revision int64
+	Era      int64
 	// Current is the key's content if Applied is not set.
 	Current Value
 }
@@ -88,6 +98,9 @@
 type Lease struct {
 	ID  int64
 	TTL time.Duration
+	// Era is the era of the service in which the lease was granted or renewed; 0
+	// if it states none. In a later era the ID may belong to another lease.
+	Era int64
 }
 
 // Error is a failed call.
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -93,8 +93,8 @@
 type Store struct {
 	Get func(ctx context.Context, key string) (savorystore.Value, error)
 	// List reads all keys with a prefix, over all pages, and the store's
-	// revision. A stale read is cheaper and may be seconds old.
-	List func(ctx context.Context, prefix string, stale bool) ([]savorystore.Value, int64, error)
+	// position. A stale read is cheaper and may be seconds old.
+	List func(ctx context.Context, prefix string, stale bool) ([]savorystore.Value, savoryworld.Position, error)
 	// Swap runs one compare-and-swap.
 	Swap      func(ctx context.Context, swap savorystore.Swap) (savorystore.SwapResult, error)
 	Grant     func(ctx context.Context, ttl time.Duration) (savorystore.Lease, error)
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -127,10 +127,10 @@
 		// A large configuration may take longer over the link of a small VM.
 		g.configTimeout = min(2*timeout, g.Settings().ConfigTime)
 	}
-	if err != nil || !v.Exists() || v.Revision == g.configRevision {
+	if err != nil || !v.Exists() || v.Position() == g.configPosition || g.outdated(v.Era) {
 		return err
 	}
-	g.configRevision = v.Revision
+	g.configPosition = v.Position()
 	g.applyConfig(v)
 	return nil
 }
@@ -164,12 +164,15 @@
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
 	readAt := g.now()
-	values, revision, err := g.Store.List(ctx, g.Store.ServerPrefix, false)
+	values, position, err := g.Store.List(ctx, g.Store.ServerPrefix, false)
 	g.recordStoreResult("list", err)
 	if err != nil {
 		return err
 	}
-	l := &savoryroster.Listing{Revision: revision}
+	if g.outdated(position.Era) {
+		return errStoreRestored
+	}
+	l := &savoryroster.Listing{Era: position.Era, Revision: position.Revision}
 	for _, v := range values {
 		id := strings.TrimPrefix(v.Key, g.Store.ServerPrefix)
 		s, err := g.Store.ReadServer(id, v.Body)
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -25,6 +25,7 @@
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savorystore"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 const (
@@ -75,10 +76,12 @@
 	ordering         atomic.Bool
 	storeContactAt   atomic.Int64
 	storeUnreachable atomic.Bool
+	// storeEra is the newest era of the store that this entry knows.
+	storeEra         atomic.Int64
 	badRegistrations map[string]string
-	// configRevision is the store's revision of the last configuration that was
+	// configPosition is the store's position of the last configuration that was
 	// read.
-	configRevision int64
+	configPosition savoryworld.Position
 	// configTimeout bounds the next reading of the configuration; it grows while
 	// readings time out.
 	configTimeout time.Duration
@@ -367,6 +370,9 @@
 			g.sleep(registrationTTL / 6)
 			continue
 		}
+		if g.leaseOutdated(lease) {
+			lease = savorystore.Lease{}
+		}
 		var err error
 		if lease.ID == 0 {
 			lease, err = g.createRegistration()
@@ -386,8 +392,8 @@
 func (g *Gate) renewRegistration(lease *savorystore.Lease) error {
 	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
 	defer cancel()
-	_, err := g.Store.KeepAlive(ctx, lease.ID)
-	if savorystore.IsLeaseExpired(err) {
+	renewed, err := g.Store.KeepAlive(ctx, lease.ID)
+	if savorystore.IsLeaseExpired(err) || err == nil && renewed.Era != lease.Era {
 		*lease = savorystore.Lease{}
 	} else {
 		g.recordStoreResult("keepalive", err)
--- a/savoryentry/savorygate/golden_test.go
+++ b/savoryentry/savorygate/golden_test.go
@@ -18,7 +18,7 @@
 	// A field renamed without a tag, or a changed text of an enum, changes the
 	// bytes in the store; a process of another build then reads zero values.
 	savorygolden.Texts(t, "key", entryPrefix, ordererKey, planPrefix, listSnapshotKey)
-	listing := &savoryroster.Listing{Revision: 71, Servers: []savoryroster.Server{{
+	listing := &savoryroster.Listing{Era: 3, Revision: 71, Servers: []savoryroster.Server{{
 		ID: "oak-1", Service: "timber", Address: netip.MustParseAddrPort("10.0.0.1:8001"), Zone: "north-1", Slots: 4,
 		Born:  time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC),
 		Holds: savoryworld.LayerRange{From: 3, To: 12}, Accelerator: "small", Busy: true, Beat: 17, Orders: 5, ReportedBeat: 16,
@@ -29,7 +29,7 @@
 			"Listing.Servers[0].Beat", "Listing.Servers[0].Busy", "Listing.Servers[0].Leaving",
 			"Listing.Servers[0].Orders", "Listing.Servers[0].ReportedBeat",
 		}},
-		{Name: "plan", Value: &savoryplacement.Plan{Unit: 4, Layers: map[string]savoryworld.LayerRange{"oak-1": {From: 4, To: 12}}}},
+		{Name: "plan", Value: &savoryplacement.Plan{Unit: 4, Era: 3, Layers: map[string]savoryworld.LayerRange{"oak-1": {From: 4, To: 12}}}},
 	})
 }
 
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -46,9 +46,10 @@
 
 type serviceOrders struct {
 	savoryplacement.Orderer
-	// revision is the revision of the plan in the store. planChanged is set if the
-	// plan in force differs from it.
+	// revision is the revision of the plan in the store, and era the era in which it
+	// was read or written. planChanged is set if the plan in force differs from it.
 	revision    int64
+	era         int64
 	planChanged bool
 }
 
@@ -92,6 +93,9 @@
 // this entry gives orders.
 func (g *Gate) mayGiveOrders(o *orderer) bool {
 	now := g.now()
+	if g.leaseOutdated(o.lease) {
+		g.stopOrdering(o, errStoreRestored)
+	}
 	observed := g.observe(now)
 	action := o.leaseState.Next(observed, now)
 	switch action {
@@ -124,6 +128,11 @@
 	defer cancel()
 	lease, err := g.Store.KeepAlive(ctx, o.lease.ID)
 	g.recordStoreResult("keepalive", err)
+	if err == nil && lease.Era != o.lease.Era {
+		err = errStoreRestored
+		g.stopOrdering(o, err)
+		return false
+	}
 	if err == nil {
 		o.lease = lease
 		o.leaseState.Granted(lease.TTL, now)
@@ -175,8 +184,11 @@
 	if err != nil {
 		return err
 	}
-	if !result.Applied {
+	switch {
+	case !result.Applied:
 		return fmt.Errorf("%s was acquired by %s", ordererKey, result.Current.Body)
+	case result.Era != lease.Era || g.leaseOutdated(lease):
+		return errStoreRestored
 	}
 	o.lease, o.substitute = lease, false
 	o.leaseState.Granted(lease.TTL, now)
@@ -201,6 +213,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
+	if g.leaseOutdated(o.lease) {
+		g.stopOrdering(o, errStoreRestored)
+		return
+	}
 	err := g.Store.Revoke(ctx, o.lease.ID) //nolint:contextcheck // the gate's own context may have ended
 	g.recordStoreResult("revoke", err)
 	g.stopOrdering(o, err)
@@ -262,7 +278,7 @@
 	defer cancel()
 	v, err := g.Store.Get(ctx, planPrefix+service)
 	g.recordStoreResult("get", err)
-	so := &serviceOrders{revision: v.Revision}
+	so := &serviceOrders{revision: v.Revision, era: v.Era}
 	if err != nil || !v.Exists() {
 		so.Resume(savoryplacement.Plan{})
 		return so, err
@@ -273,6 +289,12 @@
 		so.Resume(savoryplacement.Plan{})
 		return so, nil
 	}
+	if plan.Era < v.Era {
+		// The plan was written before the store was restored from a copy, and a
+		// later one may be lost. Engines keep the layers that they hold.
+		so.ResumeHeld(plan)
+		return so, nil
+	}
 	so.Resume(plan)
 	return so, nil
 }
@@ -280,12 +302,24 @@
 // storePlan writes the plan to the store. It fails if another orderer has written
 // one since.
 func (g *Gate) storePlan(service string, so *serviceOrders) error {
-	body, err := savorywire.Encode(so.Plan())
+	era := g.storeEra.Load()
+	plan := so.Plan()
+	plan.Era = era
+	body, err := savorywire.Encode(plan)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
+	if so.era != era {
+		// The revision belongs to an earlier era.
+		current, err := g.Store.Get(ctx, planPrefix+service)
+		g.recordStoreResult("get", err)
+		if err != nil {
+			return err
+		}
+		so.revision, so.era = current.Revision, current.Era
+	}
 	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: planPrefix + service, ExpectedRevision: so.revision, Body: body})
 	g.recordStoreResult("swap", err)
 	if err != nil {
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -468,13 +468,14 @@
 		Entries: g.relay.entriesToReport(now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
+	state.Known.StoreEra = g.storeEra.Load()
 	if cfg != nil {
 		state.Known.Config = cfg.Version
 		if known != nil && known.Config < cfg.Version {
 			state.Config = cfg
 		}
 	}
-	if known != nil && listing.Revision >= known.ListRevision && own.ListPrint != known.ListPrint {
+	if known != nil && !listing.Position().Before(known.ListPosition()) && own.ListPrint != known.ListPrint {
 		state.Listing = listing
 	}
 	for id, age := range g.view.recentFailures(now) {
@@ -490,6 +491,7 @@
 	if g.relay.recordState(s, now) {
 		g.Log.WithFields(log.Fields{"peer": s.From.Address.String(), "zone": s.From.Zone, "config": s.Known.Config}).Info("contact with peer established")
 	}
+	g.ObserveStoreEra(s.Known.StoreEra)
 	changed := s.Config != nil && g.setConfig(s.Config, "peer")
 	switch {
 	case s.Listing != nil:
--- a/savoryentry/savorygate/snapshot.go
+++ b/savoryentry/savorygate/snapshot.go
@@ -28,6 +28,8 @@
 type listSnapshotState struct {
 	fingerprint uint64
 	revision    int64
+	// era is the era of the store in which the snapshot was written or read.
+	era int64
 }
 
 // storeListSnapshot writes a snapshot if the list has changed since the last one. If
@@ -36,6 +38,11 @@
 func (g *Gate) storeListSnapshot(ctx context.Context, k *listSnapshotState) {
 	listing, _ := g.view.listForPeers(g.now())
 	snapshot := listing.Snapshot()
+	if era := g.storeEra.Load(); era != k.era {
+		// The snapshot in the store is older than the copy from which the store was
+		// restored, or the same one.
+		*k = listSnapshotState{era: era}
+	}
 	fingerprint := snapshot.Fingerprint()
 	if fingerprint == k.fingerprint || len(snapshot.Servers) == 0 {
 		return
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -418,7 +418,7 @@
 	defer v.mu.Unlock()
 	v.refreshPeerList()
 	return v.peerList, savorypeer.Versions{
-		ListRevision: v.peerList.Revision, ListPrint: v.fingerprint, ListAge: max(0, now.Sub(v.roster.ReadAt())), ListReading: v.newestReading,
+		ListEra: v.peerList.Era, ListRevision: v.peerList.Revision, ListPrint: v.fingerprint, ListAge: max(0, now.Sub(v.roster.ReadAt())), ListReading: v.newestReading,
 	}
 }
 
@@ -428,8 +428,8 @@
 		v.peerList, v.listChanged = v.roster.Listing(), false
 		v.fingerprint = v.peerList.Fingerprint()
 	}
-	if v.peerList.Revision != v.roster.Revision() {
-		v.peerList = &savoryroster.Listing{Revision: v.roster.Revision(), Servers: v.peerList.Servers}
+	if position := v.roster.Position(); v.peerList.Position() != position {
+		v.peerList = &savoryroster.Listing{Era: position.Era, Revision: position.Revision, Servers: v.peerList.Servers}
 	}
 }
 
@@ -496,5 +496,5 @@
 	if readAt.After(v.roster.ReadAt()) {
 		v.newestReading = known.ListReading
 	}
-	v.roster.Confirm(known.ListRevision, readAt)
+	v.roster.Confirm(known.ListPosition(), readAt)
 }
