Bound what a server may send without end: heads of responses and events

http.ReadResponse reads a head without bound, and the buffer of a partial event grew with a server that never ends it; either could exceed a small VM's memory. Heads are bounded by 64 KiB with the informational responses before them, a partial event by 256 KiB; the connection is closed, the engine doubted, the stream goes on elsewhere.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -47,8 +47,15 @@
 	maxResponseReads = 4
 	// maxSkippedBodyBytes bounds the body of a skipped response.
 	maxSkippedBodyBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response, together with the informational
+	// responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// ErrHeadTooLarge is returned when a server sends more than maxHeadBytes without a
+// complete head of a response.
+var ErrHeadTooLarge = errors.New("the head of the response is too large")
+
 // ErrWrongRequestID is returned when the responses on a connection belong to
 // other requests.
 var ErrWrongRequestID = errors.New("the response belongs to another request")
@@ -68,6 +75,24 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// headBytesLeft is the number of bytes that may still be read for the head of
+	// a response; it is not used while readingHead is false.
+	headBytesLeft int
+	readingHead   bool
+}
+
+// Read reads from the connection. While a head is read, it returns ErrHeadTooLarge
+// after maxHeadBytes.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headBytesLeft <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	c.headBytesLeft -= n
+	return n, err
 }
 
 // Request is one request for a backend server.
@@ -176,7 +201,7 @@
 // responses to earlier requests on the connection.
 func (a *Response) read(req *http.Request, r *Request) error {
 	for range maxResponseReads {
-		resp, err := readResponse(a.conn.br, req) //nolint:bodyclose // the connection is kept or closed by Response.Close
+		resp, err := a.conn.readResponse(req) //nolint:bodyclose // the connection is kept or closed by Response.Close
 		if err != nil {
 			return err
 		}
@@ -195,10 +220,12 @@
 	return ErrWrongRequestID
 }
 
-// readResponse reads a final response and skips informational ones.
-func readResponse(br *bufio.Reader, req *http.Request) (*http.Response, error) {
+// readResponse reads the head of a final response and skips informational ones.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	c.headBytesLeft, c.readingHead = maxHeadBytes, true
+	defer func() { c.readingHead = false }()
 	for {
-		resp, err := http.ReadResponse(br, req)
+		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
 		}
@@ -289,7 +316,9 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBufferBytes)}, false, nil
+	cn := &conn{Conn: nc}
+	cn.br = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, false, nil
 }
 
 // CloseExpired closes idle connections that have expired.
--- a/savorycore/savoryconn/client_test.go
+++ b/savorycore/savoryconn/client_test.go
@@ -230,3 +230,40 @@
 	is.Equal(dropped, []int{1})
 	is.Equal(p.Len(), 0)
 }
+
+// Guards against a server that sends bytes without end in place of the head of a
+// response. The client stops after a bounded number of bytes, closes the connection
+// and does not state that the request has not run.
+func TestEndlessHead(t *testing.T) {
+	for name, part := range map[string]string{
+		"noise": "\x00\xff\x17", "status line": "HTTP/1.1 200 aaaaaaaa", "header": "Field: value\r\n", "long header": "aaaaaaaa",
+		"informational": "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := make(chan int, 1)
+			to := serve(t, func(c net.Conn, br *bufio.Reader) {
+				n, first := 0, ""
+				if name == "header" || name == "long header" {
+					first = "HTTP/1.1 200 OK\r\n"
+				}
+				respond(br, c, first)
+				for {
+					m, err := io.WriteString(c, part)
+					n += m
+					if err != nil {
+						sent <- n
+						return
+					}
+				}
+			})
+			_, _, err := send(&Client{DialTimeout: time.Second}, to, "1")
+			var failure *Error
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Verdict, savoryverdict.MayHaveRun)
+			is.True(!errors.Is(err, context.DeadlineExceeded)) // it did not wait for its deadline
+			const socketBuffers = 8 << 20
+			is.True(<-sent < socketBuffers) // the connection was closed
+		})
+	}
+}
--- a/savoryentry/savorygate/events.go
+++ b/savoryentry/savorygate/events.go
@@ -4,9 +4,17 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
+// maxPartialEventBytes bounds the bytes of a server without the end of an event. Events
+// carry a few tokens each.
+const maxPartialEventBytes = 256 << 10
+
+// errEventTooLarge is the failure of a server that does not end an event.
+var errEventTooLarge = errors.New("the server sent too many bytes without the end of an event")
+
 // eventBuffer collects bytes of an event stream and returns only complete events: a
 // server may fail in the middle of one.
 type eventBuffer struct {
@@ -14,6 +22,8 @@
 	// last is the ID of the last event that was returned.
 	last    int64
 	hasLast bool
+	// searched is the number of bytes of data that contain no separator.
+	searched int
 }
 
 var eventSeparator = []byte("\n\n")
@@ -22,15 +32,22 @@
 func (b *eventBuffer) add(p []byte) { b.data = append(b.data, p...) }
 
 // discardPartial discards the incomplete event of a failed server.
-func (b *eventBuffer) discardPartial() { b.data = b.data[:0] }
+func (b *eventBuffer) discardPartial() { b.data, b.searched = b.data[:0], 0 }
+
+// tooLarge reports whether the incomplete event exceeds maxPartialEventBytes.
+func (b *eventBuffer) tooLarge() bool { return len(b.data) > maxPartialEventBytes }
 
 // takeComplete returns the complete events that were not returned before, and the
 // number of those with an ID. The result is valid until the next call of add.
 func (b *eventBuffer) takeComplete() ([]byte, int) {
-	end := bytes.LastIndex(b.data, eventSeparator)
+	// The separator may begin with the last byte that was searched before.
+	from := max(0, b.searched-1)
+	end := bytes.LastIndex(b.data[from:], eventSeparator)
 	if end < 0 {
+		b.searched = len(b.data)
 		return nil, 0
 	}
+	end += from
 	complete := b.data[:end+len(eventSeparator)]
 	rest := b.data[end+len(eventSeparator):]
 	var out []byte
@@ -50,6 +67,7 @@
 		out = append(out, event...)
 	}
 	b.data = append(b.data[:0], rest...)
+	b.searched = len(b.data)
 	return out, n
 }
 
--- a/savoryentry/savorygate/events_test.go
+++ b/savoryentry/savorygate/events_test.go
@@ -54,3 +54,20 @@
 	is.Equal(b.lastID("7"), "8")
 	is.True(b.hasPartial())
 }
+
+// Guards against an event without an end that grows in memory.
+func TestEndlessEventIsTooLarge(t *testing.T) {
+	is := is.New(t)
+	var b eventBuffer
+	for range maxPartialEventBytes / 4 {
+		b.add([]byte("abc\n"))
+		out, _ := b.takeComplete()
+		is.Equal(len(out), 0)
+		is.True(!b.tooLarge())
+	}
+	b.add([]byte("x"))
+	is.True(b.tooLarge())
+	b.add([]byte("\n\n"))
+	out, _ := b.takeComplete()
+	is.Equal(len(out), maxPartialEventBytes+3)
+}
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -425,6 +425,11 @@
 				a.err, a.verdict = werr, savoryverdict.MayHaveRun
 				return
 			}
+			if a.events.tooLarge() {
+				a.g.view.recordFailure(a.chain[0].Server, false, a.g.now())
+				a.recordError(ctx, errEventTooLarge)
+				return
+			}
 		}
 		if errors.Is(err, io.EOF) && !a.events.hasPartial() {
 			a.finish()
