savorygate: sends that never left need no retry budget; ask an engine that caused a refusal

Now: a failed dial is free of the budget, a refused connection is shared as a failure, and the engine that caused a refusal is asked for its report once.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -152,6 +152,14 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// NotSent reports whether the request was not sent at all, because there was no
+// connection.
+func (e *Error) NotSent() bool { return e.Stage == "dial" }
+
+// ServerGone reports whether the server's VM refused the connection: no process
+// listens at the address.
+func (e *Error) ServerGone() bool { return e.NotSent() && errors.Is(e.Err, syscall.ECONNREFUSED) }
+
 // Do sends a request and returns the head of its response. The connection is
 // closed when ctx ends. The error of a failed request is an *Error.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, r *Request) (*Response, error) {
--- a/savorycore/savoryroster/health.go
+++ b/savorycore/savoryroster/health.go
@@ -51,9 +51,9 @@
 	return h.states[id]
 }
 
-// RecordRefusal records that a server responded at once that it does not take a
-// request, for instance because its memory is full. It is avoided for minBackoff,
-// but has not failed. RecordRefusal returns the end of that time.
+// RecordRefusal records that a server does not take a request, for instance because
+// its memory is full. It is avoided for minBackoff, but has not failed. RecordRefusal
+// returns the end of that time.
 func (h *Health) RecordRefusal(id string, now time.Time) time.Time {
 	s := h.state(id)
 	s.refusedUntil = now.Add(minBackoff)
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -95,6 +95,10 @@
 	if refusals >= maxRefusals {
 		return false
 	}
+	if notSent(res.err) {
+		// The request has not arrived anywhere, so the next send repeats nothing.
+		return true
+	}
 	if !c.g.allowRetry(c.service.Name) {
 		c.log.WithField("reason", "retry budget used up").Info("request not sent again")
 		return false
@@ -197,6 +201,20 @@
 // slow for a repeatable request.
 var errAttemptTimeout = errors.New("the server did not respond within its fraction of the remaining time")
 
+// notSent reports whether err is that of a request that was not sent because there
+// was no connection.
+func notSent(err error) bool {
+	var failure *savoryconn.Error
+	return errors.As(err, &failure) && failure.NotSent()
+}
+
+// serverGone reports whether err shows that no process listens at a server's
+// address.
+func serverGone(err error) bool {
+	var failure *savoryconn.Error
+	return errors.As(err, &failure) && failure.ServerGone()
+}
+
 // statusError is the status of a server's response that counts as a failure.
 type statusError int
 
@@ -219,7 +237,7 @@
 	if c.callerLeft() {
 		return
 	}
-	until := c.g.view.recordFailure(id, false, c.g.now())
+	until := c.g.view.recordFailure(id, serverGone(err), c.g.now())
 	c.log.WithError(err).WithFields(log.Fields{
 		"server": id, "avoidedMs": until.Sub(c.g.now()).Milliseconds(),
 	}).Info("server failed")
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -232,7 +234,7 @@
 	if err != nil || result == OrderRefused {
 		release()
 		for _, server := range unfit {
-			g.view.recordRefusal(server, g.now())
+			g.checkRefusal(a.log, server, choice.Chain)
 		}
 		return unfit, false
 	}
@@ -365,6 +367,26 @@
 	}
 }
 
+// checkRefusal records that an engine of a chain refused a request, or was named as
+// the cause of a refusal, and asks the engine for its report: an engine that responds
+// is short of memory or gives up its layers, another one has failed.
+func (g *Gate) checkRefusal(logger log.Interface, server string, chain savorypath.Chain) {
+	first := g.view.recordRefusal(server, g.now())
+	i := slices.IndexFunc(chain, func(h savorypath.Hop) bool { return h.Server == server })
+	if !first || i < 0 {
+		return // another refusal has started a check, or the address is unknown
+	}
+	go func() {
+		_, err := g.report(g.ctx, chain[i].Address)
+		if err == nil || g.ctx.Err() != nil {
+			return
+		}
+		now := g.now()
+		until := g.view.recordFailure(server, errors.Is(err, syscall.ECONNREFUSED), now)
+		logger.WithError(err).WithFields(log.Fields{"server": server, "avoidedMs": until.Sub(now).Milliseconds()}).Info("engine that caused a refusal does not respond")
+	}()
+}
+
 // reportCache shares the reports of engines among streams that request them at
 // the same time.
 type reportCache struct {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -231,7 +231,7 @@
 	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
-	if s.retryTaken.CompareAndSwap(true, false) {
+	if s.retryTaken.CompareAndSwap(true, false) || notSent(a.err) {
 		return true
 	}
 	if !s.g.allowRetry(s.service.Name) {
@@ -289,7 +289,6 @@
 	chain    savorypath.Chain
 	choice   savorypath.Choice
 	cancel   context.CancelCauseFunc
-	sentAt   time.Time
 	response *savoryconn.Response
 	// errorBody is the body of a response that is not a stream.
 	errorBody []byte
@@ -328,7 +327,6 @@
 	req := a.newServerRequest(Forward{Server: first.Server, Chain: a.chain, LastEventID: a.events.lastID(a.caller.LastEventID)})
 	a.events.discardPartial()
 	a.g.recordSend(a.service.Name, a.countSend())
-	a.sentAt = a.g.now()
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
 	if err != nil {
 		a.recordError(ctx, err)
@@ -369,8 +367,8 @@
 		"path": a.watch.currentChain().String(), "events": a.eventCount, "sinceEventMs": a.g.now().Sub(a.lastEventAt).Milliseconds(), "verdict": string(a.verdict),
 	}).Info("chain failed")
 	switch {
-	case failure != nil && failure.Stage == "dial":
-		a.g.view.recordFailure(a.chain[0].Server, false, a.g.now())
+	case failure != nil && failure.NotSent():
+		a.g.view.recordFailure(a.chain[0].Server, failure.ServerGone(), a.g.now())
 		a.avoidServer(a.chain[0].Server)
 	case errors.Is(err, errStalled):
 		// The stallWatch has already recorded the failure of the engine that
@@ -397,13 +395,7 @@
 			fault = a.chain[0].Server
 		}
 		a.avoidServer(fault)
-		if now := a.g.now(); now.Sub(a.sentAt) < a.g.Settings().StallTimeout {
-			// An engine that responds at once is short of memory or gives up its
-			// layers. Engines wait for a failed engine for the stall timeout.
-			a.g.view.recordRefusal(fault, now)
-		} else {
-			a.g.view.recordFailure(fault, false, now)
-		}
+		a.g.checkRefusal(a.log, fault, a.chain)
 		return
 	}
 	a.recordMayHaveRun(a.chain[0].Server)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -305,12 +305,14 @@
 	return v.recordSharedFailure(id, now)
 }
 
-// recordRefusal records that a server does not take a request, and returns the time
-// until which it is avoided.
-func (v *view) recordRefusal(id string, now time.Time) time.Time {
+// recordRefusal records that a server does not take a request. It reports whether
+// the server was not avoided before.
+func (v *view) recordRefusal(id string, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.health.RecordRefusal(id, now)
+	first := !v.health.Avoided(id, now)
+	v.health.RecordRefusal(id, now)
+	return first
 }
 
 // recordPeerFailure records a server failure that a peer reported. It returns
