savoryplacement: order the loads that make a zone whole soonest first

Now: urgent loads first, by the zone that lacks least, then the shortest; a failing engine holds no place, and an engine that loads is asked for its report each second. Test: TestLoadsThatMakeZonesWholeComeFirst.

--- a/savorycore/savoryplacement/orderer.go
+++ b/savorycore/savoryplacement/orderer.go
@@ -3,6 +3,9 @@
 // This file defines Orderer, which turns a plan into orders to engines.
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"savorycart.example/savorycore/savoryroster"
@@ -131,30 +134,57 @@
 
 // Orders returns the orders to give now. If any engine holds layers, at most
 // LoadsAtOnce engines load at a time, the number that the weight store serves at
-// full speed.
+// full speed. The loads that make a zone whole soonest come first.
 func (o *Orderer) Orders(e *savoryrouting.Engine, servers []savoryroster.Server, failing map[string]bool, now time.Time) []Order {
 	held := heldLayers(e, servers, failing)
-	loading, serving := o.loading(servers, now)
+	loading, serving := o.loading(servers, failing, now)
 	var orders []Order
 	for _, s := range servers {
 		want := o.plan.Layers[s.ID]
-		if want.Empty() || s.Holds == want || s.Leaving || s.Busy || o.RecentlyOrdered(s, now) {
+		if want.Empty() || s.Holds == want || s.Leaving || s.Busy || failing[s.ID] || o.RecentlyOrdered(s, now) {
 			continue
 		}
-		if serving && e.LoadsAtOnce > 0 && loading >= e.LoadsAtOnce {
-			break
-		}
-		loading++
-		o.pending[s.ID] = pendingOrder{incarnation: s.Born, orderedAt: now}
 		orders = append(orders, Order{Server: s, Layers: want, Urgent: serving && lacksAny(held[s.Zone], want)})
 	}
+	sortOrders(orders, held)
+	if serving && e.LoadsAtOnce > 0 {
+		orders = orders[:min(len(orders), max(0, e.LoadsAtOnce-loading))]
+	}
+	for _, order := range orders {
+		o.pending[order.Server.ID] = pendingOrder{incarnation: order.Server.Born, orderedAt: now}
+	}
 	return orders
 }
 
+// sortOrders sorts urgent orders first, among these the zones that lack the fewest
+// layers, and then the shortest loads. Orders of the same rank keep their sequence.
+func sortOrders(orders []Order, held map[string][]bool) {
+	lacking := make(map[string]int)
+	for zone, layers := range held {
+		for _, ok := range layers {
+			if !ok {
+				lacking[zone]++
+			}
+		}
+	}
+	rank := func(o Order) int {
+		if o.Urgent {
+			return lacking[o.Server.Zone]
+		}
+		return math.MaxInt
+	}
+	slices.SortStableFunc(orders, func(a, b Order) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Layers.Count(), b.Layers.Count()))
+	})
+}
+
 // loading counts the engines that load layers after an order and reports whether
-// any engine holds layers.
-func (o *Orderer) loading(servers []savoryroster.Server, now time.Time) (n int, serving bool) {
+// any engine holds layers. A failing engine is not counted: its load may never end.
+func (o *Orderer) loading(servers []savoryroster.Server, failing map[string]bool, now time.Time) (n int, serving bool) {
 	for _, s := range servers {
+		if failing[s.ID] {
+			continue
+		}
 		if s.Busy || o.RecentlyOrdered(s, now) && s.Holds != o.plan.Layers[s.ID] {
 			n++
 		}
--- a/savorycore/savoryplacement/plan_test.go
+++ b/savorycore/savoryplacement/plan_test.go
@@ -254,6 +254,46 @@
 	is.True(again[0].Urgent)
 }
 
+// Pattern: several engines crash together and come back empty, while few may load at
+// a time. The loads that make a zone whole soonest are ordered first, not those of the
+// engine whose name comes first, and an engine that failed while it loaded does not
+// keep others waiting.
+func TestLoadsThatMakeZonesWholeComeFirst(t *testing.T) {
+	is := is.New(t)
+	e := testEngine()
+	e.LoadsAtOnce = 2
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	layers := func(from, to int) savoryworld.LayerRange { return savoryworld.LayerRange{From: from, To: to} }
+	var o Orderer
+	o.Resume(Plan{Unit: 5, Layers: map[string]savoryworld.LayerRange{
+		"a1": layers(0, 30), "a2": layers(0, 30), "a3": layers(30, 80),
+		"b1": layers(0, 30), "b2": layers(30, 60), "b3": layers(60, 80), "b4": layers(30, 60),
+		"c1": layers(0, 10), "c2": layers(10, 80),
+	}})
+	server := func(id string, holds savoryworld.LayerRange) savoryroster.Server {
+		return savoryroster.Server{ID: id, Zone: id[:1], Born: now, Holds: holds}
+	}
+	servers := []savoryroster.Server{
+		server("a1", layers(0, 0)), server("a2", layers(0, 30)), server("a3", layers(30, 80)), // whole without a1
+		server("b1", layers(0, 0)), server("b2", layers(0, 0)), server("b3", layers(60, 80)), server("b4", layers(0, 0)),
+		server("c1", layers(0, 0)), server("c2", layers(10, 80)),
+	}
+	ids := func(orders []Order) (ids []string) {
+		for _, order := range orders {
+			ids = append(ids, order.Server.ID)
+		}
+		return ids
+	}
+	is.Equal(ids(o.Orders(e, servers, nil, now)), []string{"c1", "b1"})
+	now = now.Add(time.Second)
+	servers[7].Holds = layers(0, 10) // c1 has loaded
+	is.Equal(ids(o.Orders(e, servers, nil, now)), []string{"b2"})
+	now = now.Add(time.Second)
+	is.Equal(len(o.Orders(e, servers, nil, now)), 0)
+	failing := map[string]bool{"b1": true}
+	is.Equal(ids(o.Orders(e, servers, failing, now)), []string{"b4"})
+}
+
 // All entries failed while the store was unreachable, and most engines are expired
 // in the list that the next orderer reads. It moves no engine until the engines
 // have registered again or reregisterWindow has passed.
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -27,6 +27,9 @@
 	orderInterval = 200 * time.Millisecond
 	// orderTimeout bounds the call of one order, and other calls of the orderer.
 	orderTimeout = 500 * time.Millisecond
+	// loadCheckInterval is the interval of the requests for the report of an engine
+	// that loads layers. Another engine is ordered if it no longer responds.
+	loadCheckInterval = time.Second
 	// confirmInterval is the interval of the requests for an engine's report until
 	// its order is done, maxConfirmAttempts their number.
 	confirmInterval    = 400 * time.Millisecond
@@ -367,7 +370,16 @@
 	if !serving {
 		return
 	}
-	g.sleep(time.Duration(float64(s.Engine.LoadTime) * float64(order.Layers.Count()) / float64(s.Engine.Layers)))
+	loadedAt := g.now().Add(time.Duration(float64(s.Engine.LoadTime) * float64(order.Layers.Count()) / float64(s.Engine.Layers)))
+	for wait := loadedAt.Sub(g.now()); wait > loadCheckInterval; wait = loadedAt.Sub(g.now()) {
+		g.sleep(loadCheckInterval)
+		if _, err := g.engineReport(order.Server); err != nil && g.alive() {
+			until := g.view.recordFailure(order.Server.ID, true, g.now())
+			g.Log.WithError(err).WithFields(log.Fields{"server": order.Server.ID, "avoidedMs": until.Sub(g.now()).Milliseconds()}).Info("engine does not respond while it loads layers")
+			return
+		}
+	}
+	g.sleep(loadedAt.Sub(g.now()))
 	for range maxConfirmAttempts {
 		if !g.alive() {
 			return
