savorygate: survey the speed of engines and weigh slow ones

The factor that an engine states for its speed was read and used nowhere: slow engines kept their share of new streams.

--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -57,6 +57,14 @@
 	Age    time.Duration
 }
 
+// ServerSlowdown is how much slower than usual an engine was, as the orderer found.
+// Factor is 1 if it is as fast as usual again. Age is the time since the finding.
+type ServerSlowdown struct {
+	Server string
+	Factor float64
+	Age    time.Duration
+}
+
 // SyncState is the state that one side of a Sync sends. Config and Listing are
 // set only if the other side is known to lack them.
 type SyncState struct {
@@ -72,11 +80,13 @@
 	// Loads is the work that the sender has in flight at engines. If Relayed is
 	// set, Loads includes the work of the entries for which the sender relays,
 	// except that of the receiver.
-	Loads   []savorypath.Load     `msgpack:",omitempty"`
-	Relayed bool                  `msgpack:",omitempty"`
-	Faults  []ServerFailure       `msgpack:",omitempty"`
-	Config  *savoryrouting.Config `msgpack:",omitempty"`
-	Listing *savoryroster.Listing `msgpack:",omitempty"`
+	Loads   []savorypath.Load `msgpack:",omitempty"`
+	Relayed bool              `msgpack:",omitempty"`
+	Faults  []ServerFailure   `msgpack:",omitempty"`
+	// Slowdowns are the engines that are or were lately slower than usual.
+	Slowdowns []ServerSlowdown      `msgpack:",omitempty"`
+	Config    *savoryrouting.Config `msgpack:",omitempty"`
+	Listing   *savoryroster.Listing `msgpack:",omitempty"`
 }
 
 var _ message = (*SyncState)(nil)
@@ -91,6 +101,11 @@
 			return fmt.Errorf("SyncState.Entries[%d].Address: is not an IP address with a port", i)
 		}
 	}
+	for i, s := range n.Slowdowns {
+		if s.Factor < 1 || s.Age < 0 {
+			return fmt.Errorf("SyncState.Slowdowns[%d]: factor %g is below 1, or age %s below 0", i, s.Factor, s.Age)
+		}
+	}
 	if n.Known.ListAge < 0 {
 		return fmt.Errorf("SyncState.Known.ListAge: %s is below 0", n.Known.ListAge)
 	}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -286,6 +286,7 @@
 		g.sleep(sweepInterval)
 		now := g.now()
 		g.serverClient.CloseExpired(now)
+		g.view.expireSlowdowns(now, g.config())
 		g.setBudgets()
 		for state, n := range g.view.countsByState(now) {
 			g.metrics.servers.WithLabelValues(state).Set(float64(n))
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -40,6 +40,8 @@
 type orderer struct {
 	leaseState savoryplacement.OrdererLease
 	lease      savorystore.Lease
+	// round counts the rounds in which engines are asked for their reports.
+	round int
 	// substitute is set while the entry gives orders without a lease.
 	substitute bool
 	// services hold the plans by service. They are kept when the entry acquires the
@@ -227,6 +229,7 @@
 
 // orderService updates the plan of a service and gives its orders.
 func (g *Gate) orderService(o *orderer, s *savoryrouting.Service) {
+	o.round++
 	so := o.services[s.Name]
 	if so == nil {
 		var err error
@@ -238,6 +241,9 @@
 	}
 	now := g.now()
 	servers, failing := g.view.servers(s.Name, now)
+	if len(servers) > 0 && anyHoldsLayers(servers) {
+		g.surveyEngines(servers, o.round)
+	}
 	for _, server := range servers {
 		if so.RecentlyOrdered(server, now) {
 			delete(failing, server.ID)
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -481,6 +481,7 @@
 	for id, age := range g.view.recentFailures(now) {
 		state.Faults = append(state.Faults, savorypeer.ServerFailure{Server: id, Age: age})
 	}
+	state.Slowdowns = g.view.recentSlowdowns(now)
 	return state
 }
 
@@ -506,6 +507,7 @@
 			g.Log.WithFields(log.Fields{"server": f.Server, "peer": s.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided after a failure report from a peer")
 		}
 	}
+	g.view.applySlowdowns(s.Slowdowns, now, g.config())
 	if changed {
 		g.forwardToZone()
 	}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -34,8 +34,9 @@
 	// are not part of a chain.
 	inFlight map[string]int
 	// sharedFailures are the recent server failures to pass on to peers, by server.
-	sharedFailures  map[string]time.Time
-	slowdownFactors map[string]float64
+	sharedFailures map[string]time.Time
+	// slowdowns are the engines that are or were lately slower than usual.
+	slowdowns map[string]slowdown
 	// peerList is the copy of the list for peers and fingerprint its fingerprint.
 	// listChanged is set if the roster has changed since the copy was made.
 	peerList    *savoryroster.Listing
@@ -144,7 +145,7 @@
 		for _, server := range v.roster.Available(s.Name) {
 			engines = append(engines, savorypath.Engine{
 				ID: server.ID, Address: server.Address, Zone: server.Zone, Holds: server.Holds,
-				Accelerator: s.Engine.Accelerator(server.Accelerator), SlowdownFactor: v.slowdownFactors[server.ID],
+				Accelerator: s.Engine.Accelerator(server.Accelerator), SlowdownFactor: v.slowdowns[server.ID].factor,
 			})
 		}
 		v.table(s.Name).SetEngines(s.Engine, engines)
