savorygate: zone leaders from three entries a zone on

The bound is now two entries for each zone, whatever the fleet's size. Test: TestSmallFleetCallsAcrossZonesByLeaders.

--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -148,6 +148,34 @@
 	}
 }
 
+// Pattern: a fleet of a few entries in each zone, where bytes between zones are dear. Only
+// zone leaders call each other across zones, each entry counts all others, and two
+// entries in each zone still exchange their state directly.
+func TestSmallFleetCallsAcrossZonesByLeaders(t *testing.T) {
+	for _, test := range []struct{ zones, each, crossing int }{{3, 2, 4}, {3, 3, 2}, {3, 4, 2}, {2, 3, 1}} {
+		t.Run(fmt.Sprintf("%d zones of %d", test.zones, test.each), func(t *testing.T) {
+			is := is.New(t)
+			f := newEntryFleet(test.zones, test.each)
+			for range 20 {
+				f.round()
+			}
+			for _, r := range f.entries {
+				crossing := 0
+				for _, target := range r.targets(f.now, false) {
+					if r.peers[target].entry.Zone != r.self.Zone {
+						crossing++
+					}
+				}
+				is.True(crossing <= test.crossing)
+				is.True(test.each <= 2 || crossing == 0 || r.isLeader(f.now))
+			}
+			minCount, maxCount := f.countOthers()
+			is.Equal(minCount, test.zones*test.each-1)
+			is.Equal(maxCount, test.zones*test.each-1)
+		})
+	}
+}
+
 // A rolling release: each leader drains for seconds with its requests in flight. The
 // others must count at least half of the requests in flight meanwhile; otherwise they
 // would overload engines.
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -1,9 +1,10 @@
 package savorygate
 
-// This file exchanges state with the other entries. In a small fleet each entry
-// exchanges it with all others. In a larger one each availability zone has a
-// leader, which exchanges it with the leaders of the other zones and with the
-// entries of its zone, so that the calls of an entry do not grow with the fleet.
+// This file exchanges state with the other entries. In a fleet of at most two
+// entries in each availability zone every entry exchanges it with all others. In a
+// larger one each zone has a leader, which exchanges it with the leaders of the other
+// zones and with the entries of its zone: the calls of an entry then do not grow with
+// the fleet, and few of them cross zones.
 // An entry's leader is the first entry of its zone, by strength, that responds.
 // Entries may disagree on it for a while; two leaders in one zone do no harm.
 
@@ -40,9 +41,10 @@
 	// one round. Later rounds call the others, since a called peer waits for
 	// unreachableCallInterval.
 	maxUnreachableCalls = 3
-	// maxFullMeshEntries is the largest fleet in which each entry exchanges state
-	// with all others.
-	maxFullMeshEntries = 9
+	// maxMeshEntriesPerZone is the number of entries for each availability zone up
+	// to which each entry exchanges state with all others. With more, most exchanges
+	// would cross zones, where bytes are dear, and leaders save them.
+	maxMeshEntriesPerZone = 2
 	// maxStoreReaders is the number of entries that read the configuration and the
 	// list of servers from the store and pass them to the others.
 	maxStoreReaders = 1
@@ -125,8 +127,17 @@
 	}
 }
 
-// large reports whether the fleet has more entries than maxFullMeshEntries.
-func (r *relay) large() bool { return len(r.peers) >= maxFullMeshEntries }
+// large reports whether zones have leaders: the fleet has more than
+// maxMeshEntriesPerZone entries for each zone.
+func (r *relay) large() bool {
+	zones := map[string]bool{r.self.Zone: true}
+	for _, p := range r.peers {
+		if p.entry.Zone != "" {
+			zones[p.entry.Zone] = true
+		}
+	}
+	return 1+len(r.peers) > maxMeshEntriesPerZone*len(zones)
+}
 
 // before orders entries by strength, then by address.
 func before(a, b savorypeer.Entry) bool {
