savorygate: bound the exchanges of a zone leader

Larger zones call it less often; the order of readers is found in one pass over the peers. Test: TestLeaderCallsAreBounded (10, 60, 120 entries).

--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -25,10 +25,12 @@
 	maxTargets int
 	// draining is true for the draining entries.
 	draining map[netip.AddrPort]bool
+	// calls counts the calls to each entry.
+	calls map[netip.AddrPort]int
 }
 
 func newEntryFleet(zones, perZone int) *entryFleet {
-	f := &entryFleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), entries: make(map[netip.AddrPort]*relay), stopped: make(map[netip.AddrPort]bool), draining: make(map[netip.AddrPort]bool)}
+	f := &entryFleet{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), entries: make(map[netip.AddrPort]*relay), stopped: make(map[netip.AddrPort]bool), draining: make(map[netip.AddrPort]bool), calls: make(map[netip.AddrPort]int)}
 	for z := range zones {
 		for i := range perZone {
 			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, byte(i + 1)}), 80)
@@ -71,6 +73,7 @@
 		targets := r.targets(f.now, false)
 		f.maxTargets = max(f.maxTargets, len(targets))
 		for _, target := range targets {
+			f.calls[target]++
 			if f.stopped[target] {
 				continue
 			}
@@ -176,6 +179,34 @@
 	}
 }
 
+// Pattern: a zone of hundreds of entries, each of which calls the leader. The leader's
+// calls do not grow with the zone as long as entries count as live, and all loads are
+// still counted.
+func TestLeaderCallsAreBounded(t *testing.T) {
+	const rounds = 40
+	for _, each := range []int{10, 60, 120} {
+		t.Run(fmt.Sprint(each), func(t *testing.T) {
+			is := is.New(t)
+			f := newEntryFleet(2, each)
+			for range rounds {
+				f.round()
+			}
+			before := f.calls[f.order[0]]
+			for range rounds {
+				f.round()
+			}
+			calls := f.calls[f.order[0]] - before
+			perSecond := float64(calls) / (rounds * syncInterval.Seconds())
+			t.Logf("%d entries: %.0f calls per second to the leader", each, perSecond)
+			is.True(perSecond <= 1.1*maxLeaderCallsPerSecond)
+			is.True(perSecond >= min(float64(each-1)/syncInterval.Seconds(), 0.5*maxLeaderCallsPerSecond)-1)
+			minCount, maxCount := f.countOthers()
+			is.Equal(minCount, 2*each-1)
+			is.Equal(maxCount, 2*each-1)
+		})
+	}
+}
+
 // A rolling release: each leader drains for seconds with its requests in flight. The
 // others must count at least half of the requests in flight meanwhile; otherwise they
 // would overload engines.
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -45,6 +45,12 @@
 	// to which each entry exchanges state with all others. With more, most exchanges
 	// would cross zones, where bytes are dear, and leaders save them.
 	maxMeshEntriesPerZone = 2
+	// maxLeaderCallsPerSecond bounds the exchanges of a zone leader with the entries
+	// of its zone, each of which takes it about a millisecond of processor time. The
+	// entries of a larger zone call it less often, but at least each
+	// maxLeaderInterval, so that they count as live.
+	maxLeaderCallsPerSecond = 240
+	maxLeaderInterval       = peerTTL / 2
 	// maxStoreReaders is the number of entries that read the configuration and the
 	// list of servers from the store and pass them to the others.
 	maxStoreReaders = 1
@@ -183,23 +189,25 @@
 	if r.large() && !r.isLeader(now) {
 		return lastRank
 	}
-	n := 0
+	n, large, leaders := 0, r.large(), r.leadingPeers(now)
 	for _, p := range r.peers {
-		if counts(p) && !p.draining && p.live(now) && before(p.entry, r.self) && (!r.large() || r.leadsZone(p, now)) {
+		if counts(p) && !p.draining && p.live(now) && before(p.entry, r.self) && (!large || leaders[p.entry.Zone] == p) {
 			n++
 		}
 	}
 	return n
 }
 
-// leadsZone reports whether a peer is the first live entry of its zone.
-func (r *relay) leadsZone(p *relayPeer, now time.Time) bool {
-	for _, q := range r.peers {
-		if q != p && q.entry.Zone == p.entry.Zone && q.live(now) && !q.draining && before(q.entry, p.entry) {
-			return false
+// leadingPeers returns the first live peer of each zone.
+func (r *relay) leadingPeers(now time.Time) map[string]*relayPeer {
+	leaders := make(map[string]*relayPeer)
+	for _, p := range r.peers {
+		first := leaders[p.entry.Zone]
+		if p.live(now) && !p.draining && (first == nil || before(p.entry, first.entry)) {
+			leaders[p.entry.Zone] = p
 		}
 	}
-	return p.entry.Zone != r.self.Zone || before(p.entry, r.self)
+	return leaders
 }
 
 // liveCount returns the number of live entries, including this one.
@@ -321,6 +329,8 @@
 			continue
 		case !p.live(now) && p.recentlyCalled(now):
 			continue
+		case !urgent && p.entry.Zone == r.self.Zone && now.Sub(p.calledAt) < r.leaderInterval():
+			continue
 		}
 		p.calledAt = now
 		addresses = append(addresses, p.entry.Address)
@@ -329,6 +339,26 @@
 	return slices.Compact(addresses)
 }
 
+// leaderInterval returns the least time between two calls to the leader of this
+// entry's zone, 0 if each round may call it.
+func (r *relay) leaderInterval() time.Duration {
+	if !r.large() {
+		return 0
+	}
+	n := 0
+	for _, p := range r.peers {
+		if p.entry.Zone == r.self.Zone {
+			n++
+		}
+	}
+	interval := time.Duration(n) * time.Second / maxLeaderCallsPerSecond
+	if interval <= syncInterval {
+		return 0
+	}
+	// Rounds come each syncInterval and a little late.
+	return min(interval, maxLeaderInterval) - syncInterval/2
+}
+
 // beginCall marks a call to a peer as started and returns the versions that the
 // peer has. They are nil before the first contact and while another call to the
 // peer is in progress. The result is false for an unknown peer.
