Count windows and ages by the steady clock

The retry budget counted its slots by the time of day: a jump of ten seconds cleared it, so that its retries were allowed twice; the last contact with the store and with peers was kept as a Unix time. Tests with savoryclock.Jump: TestWindowBudgetIgnoresClockJumps (failed before), TestLeaseIgnoresClockJumps, TestAgesIgnoreClockJumps.

--- a/savorycore/savorylimit/window.go
+++ b/savorycore/savorylimit/window.go
@@ -18,10 +18,13 @@
 	Window time.Duration
 
 	// The rings hold one slot more than a window has, since a window may begin
-	// within a slot. slot is the number of the current slot since the Unix epoch.
+	// within a slot. slot is the number of the current slot since firstUsedAt.
 	requests [windowSlots + 1]int
 	retries  [windowSlots + 1]int
 	slot     int64
+	// firstUsedAt is the time of the first use. Slots count from it because the time
+	// of day may jump.
+	firstUsedAt time.Time
 }
 
 // RecordRequest counts a request at now.
@@ -54,7 +57,10 @@
 // advance makes the slot of now the current one and clears the slots that were
 // skipped.
 func (b *WindowBudget) advance(now time.Time) {
-	slot := now.UnixNano() / int64(b.Window/windowSlots)
+	if b.firstUsedAt.IsZero() {
+		b.firstUsedAt = now
+	}
+	slot := int64(now.Sub(b.firstUsedAt) / (b.Window / windowSlots))
 	if slot-b.slot > windowSlots {
 		b.requests, b.retries = [windowSlots + 1]int{}, [windowSlots + 1]int{}
 		b.slot = slot
--- a/savorycore/savorylimit/window_test.go
+++ b/savorycore/savorylimit/window_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryclock"
 )
 
 // Guards against spreading the budget over the window: when an engine fails with
@@ -68,3 +70,23 @@
 	is.True(usedFraction*300+60*SlackShare(usedFraction*300, 60, peerDiscoveryWindow, window) <= 300+1e-9)
 	is.Equal(SlackShare(300, 60, window, window), 5.0)
 }
+
+// Guards against a time of day that jumps forward and ends the window early, so that
+// its retries are allowed a second time, or jumps back and never ends it.
+func TestWindowBudgetIgnoresClockJumps(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	for _, seconds := range []int{2400, -2400, 30, -3} {
+		b := WindowBudget{Slack: 5, Window: 10 * time.Second}
+		allowed := func(now time.Time) (n int) {
+			for b.AllowRetry(now) {
+				n++
+			}
+			return n
+		}
+		is.Equal(allowed(start), 5)
+		is.Equal(allowed(savoryclock.Jump(start.Add(3*time.Second), seconds)), 0)
+		is.Equal(allowed(start.Add(6*time.Second)), 0) // the clock has jumped back again
+		is.Equal(allowed(savoryclock.Jump(start.Add(12*time.Second), seconds)), 5)
+	}
+}
--- a/savorycore/savoryplacement/lease_test.go
+++ b/savorycore/savoryplacement/lease_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryclock"
 )
 
 // Each event of testdata/tenure.txt leads to the action that its line states.
@@ -80,3 +82,19 @@
 	}
 	return "", nil
 }
+
+// Guards against a time of day that jumps in the middle of a lease: an orderer that takes
+// its lease for lapsed stops for nothing, one that takes it for valid orders beside its
+// successor.
+func TestLeaseIgnoresClockJumps(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	for _, seconds := range []int{2400, -2400} {
+		var lease OrdererLease
+		lease.Granted(LeaseTTL, start)
+		is.Equal(lease.Next(Observation{}, savoryclock.Jump(start.Add(LeaseTTL/10), seconds)), ActionOrder)
+		is.Equal(lease.Next(Observation{}, savoryclock.Jump(start.Add(LeaseTTL/2), seconds)), ActionRenew)
+		late := savoryclock.Jump(start.Add(LeaseTTL), seconds)
+		is.Equal(lease.RenewalUnanswered(Observation{LiveEntries: 1}, late), ActionResign)
+	}
+}
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -235,7 +235,7 @@
 	}
 	g.metrics.storeCalls.WithLabelValues(op, result).Inc()
 	if err == nil {
-		g.storeContactAt.Store(g.now().UnixNano())
+		g.storeContactAt.Store(g.now())
 		if g.storeUnreachable.CompareAndSwap(true, false) {
 			g.Log.WithField("operation", op).Info("store reachable again")
 		}
@@ -253,5 +253,5 @@
 // storeWorks reports whether the last store call succeeded, not longer than
 // storeResultTTL ago.
 func (g *Gate) storeWorks() bool {
-	return !g.storeUnreachable.Load() && g.now().Sub(time.Unix(0, g.storeContactAt.Load())) < storeResultTTL
+	return !g.storeUnreachable.Load() && g.now().Sub(g.storeContactAt.Load()) < storeResultTTL
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -74,7 +74,7 @@
 	inFlight         atomic.Int64
 	stopping         atomic.Bool
 	ordering         atomic.Bool
-	storeContactAt   atomic.Int64
+	storeContactAt   savoryworld.AtomicTime
 	storeUnreachable atomic.Bool
 	// storeEra is the newest era of the store that this entry knows.
 	storeEra         atomic.Int64
--- a/savoryentry/savorygate/view_test.go
+++ b/savoryentry/savorygate/view_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"savorycart.example/savorycore/savoryclock"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -71,3 +72,25 @@
 	is.True(!v.recordStall("e", ordered, now).IsZero())
 	is.True(failing())
 }
+
+// Guards against a time of day that jumps while a list ages, a server is avoided and the
+// store was in contact: each counts by the steady clock.
+func TestAgesIgnoreClockJumps(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	for _, seconds := range []int{2400, -2400} {
+		v := new(view)
+		v.applyList(&savoryroster.Listing{Revision: 1, Servers: []savoryroster.Server{{ID: "e", Service: "s"}}}, reading{id: 1, at: start}, start, nil)
+		v.recordFailure("e", false, start)
+		later := savoryclock.Jump(start.Add(300*time.Millisecond), seconds)
+		_, known := v.listForPeers(later)
+		is.Equal(known.ListAge, 300*time.Millisecond)
+		_, failing := v.servers("s", later)
+		is.True(failing["e"])
+		_, failing = v.servers("s", savoryclock.Jump(start.Add(time.Second), seconds))
+		is.True(!failing["e"])
+		var contact savoryworld.AtomicTime
+		contact.Store(start)
+		is.Equal(later.Sub(contact.Load()), 300*time.Millisecond)
+	}
+}
--- a/savoryentry/savorynode/follow.go
+++ b/savoryentry/savorynode/follow.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return
 	}
-	s.storeContactAt.Store(s.now().UnixNano())
+	s.storeContactAt.Store(s.now())
 	var changed []string
 	for _, key := range keys {
 		if key.Revision != seen[key.Key] {
@@ -135,7 +135,7 @@
 // applyWatched applies the value of a watched key. It returns false if the
 // key must be read again.
 func (s *gossiper) applyWatched(ctx context.Context, v savorystore.Value) bool {
-	s.storeContactAt.Store(s.now().UnixNano())
+	s.storeContactAt.Store(s.now())
 	switch {
 	case v.Body == nil:
 		return true
--- a/savoryentry/savorynode/gossip.go
+++ b/savoryentry/savorynode/gossip.go
@@ -18,6 +18,7 @@
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryvmlist"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 const (
@@ -64,16 +65,16 @@
 	// fetchMu is held while the configuration is fetched from a peer.
 	fetchMu sync.Mutex
 	// storeContactAt and peerContactAt are the times of the last contact with
-	// the store and with any peer, in Unix nanoseconds.
-	storeContactAt atomic.Int64
-	peerContactAt  atomic.Int64
+	// the store and with any peer.
+	storeContactAt savoryworld.AtomicTime
+	peerContactAt  savoryworld.AtomicTime
 	// listedPeers is the number of other entries on the platform's list.
 	listedPeers atomic.Int64
 }
 
 // run starts the loops, which end when t dies.
 func (s *gossiper) run(t *tomb.Tomb) {
-	s.storeContactAt.Store(s.now().UnixNano())
+	s.storeContactAt.Store(s.now())
 	t.Go(func() error { return s.heartbeatLoop(t) })
 	t.Go(func() error { return s.listLoop(t) })
 	if s.configHome {
@@ -89,8 +90,7 @@
 	if s.listedPeers.Load() == 0 {
 		return false
 	}
-	last := max(s.storeContactAt.Load(), s.peerContactAt.Load())
-	return now.Sub(time.Unix(0, last)) > isolationTimeout
+	return min(now.Sub(s.storeContactAt.Load()), now.Sub(s.peerContactAt.Load())) > isolationTimeout
 }
 
 func (s *gossiper) heartbeatLoop(t *tomb.Tomb) error {
@@ -150,7 +150,7 @@
 // recordHeartbeat records the heartbeat of a peer.
 func (s *gossiper) recordHeartbeat(received *savorypeer.Heartbeat) {
 	now := s.now()
-	s.peerContactAt.Store(now.UnixNano())
+	s.peerContactAt.Store(now)
 	s.tables.members.with(func(m *memberState) { m.table.RecordContact(received.Peer(), received.Draining, now) })
 	s.tables.limits.with(func(l *limitState) { l.limiter.SetPeerDemands(received.Address.String(), received.Demands) })
 }
