--- a/savoryentry/savorygate/slow.go
+++ b/savoryentry/savorygate/slow.go
@@ -17,9 +17,9 @@
 
 const (
 	// surveyRounds is the number of the orderer's rounds in which each engine is
-	// asked once. With orderInterval it makes a survey of one second, in which a
+	// asked once. With orderInterval it makes a survey of two seconds, in which a
 	// slow engine makes a few late events.
-	surveyRounds = 5
+	surveyRounds = 10
 	// maxSurveyCalls bounds the reports that are requested in one round. In a
 	// service with more engines a survey takes longer.
 	maxSurveyCalls = 40
