An orderer that was paused or suspended orders nothing before it has renewed its lease

The steady clock stands still while a VM is suspended, so a lapsed lease looked valid; an order that was decided before a pause was sent after it. The lease is doubtful once the time of day has gained on the steady clock, and is checked again right before each order.

--- a/savorycore/savoryplacement/lease.go
+++ b/savorycore/savoryplacement/lease.go
@@ -16,6 +16,10 @@
 	// after the store has recovered: the store then restores the lease of the failed
 	// orderer, and that lease still has to expire.
 	substituteWindow = 2 * LeaseTTL
+	// maxClockGain is how much further the time of day may advance than the steady
+	// clock before the lease counts as doubtful. The steady clock stands still while
+	// a VM is suspended, and the store goes on.
+	maxClockGain = LeaseTTL / leaseDivisor / 2
 	// renewRetryInterval is the delay after a failed renewal. Several retries fit into
 	// one of the lease's parts.
 	renewRetryInterval = 200 * time.Millisecond
@@ -64,6 +68,9 @@
 	held       bool
 	validUntil time.Time
 	renewAt    time.Time
+	// grantedAt is the time from which the lease counts, or of the last decision to go
+	// on without a renewal.
+	grantedAt time.Time
 	// firstFailureAt is the time of the first failed renewal since the last one that
 	// the store answered.
 	firstFailureAt time.Time
@@ -76,12 +83,26 @@
 // Held reports whether the entry holds the lease.
 func (t *OrdererLease) Held() bool { return t.held }
 
+// Valid reports whether the lease allows an order at now: it has not run out, and the
+// VM was not suspended since it was granted.
+func (t *OrdererLease) Valid(now time.Time) bool {
+	return t.held && now.Before(t.validUntil) && !t.suspended(now)
+}
+
+// suspended reports whether the time of day has advanced further than the steady clock
+// since the lease was granted: the VM was suspended, or its time of day was set. The
+// lease may have run out in the meantime, which only a renewal shows.
+func (t *OrdererLease) suspended(now time.Time) bool {
+	byDay := now.Round(0).Sub(t.grantedAt.Round(0))
+	return byDay-now.Sub(t.grantedAt) > maxClockGain
+}
+
 // Next returns the action for now. After ActionRenew the caller reports the result
 // by Granted, Expired or RenewalUnanswered; after ActionAcquire it calls Granted
 // if the lease was acquired.
 func (t *OrdererLease) Next(w Observation, now time.Time) LeaseAction {
 	switch {
-	case t.held && now.Before(t.renewAt) && now.Before(t.validUntil):
+	case t.held && now.Before(t.renewAt) && t.Valid(now):
 		return ActionOrder
 	case t.held:
 		return ActionRenew
@@ -104,7 +125,7 @@
 // Granted records that the lease was acquired or renewed. The time to live counts
 // from the time before the call to the store.
 func (t *OrdererLease) Granted(ttl time.Duration, from time.Time) {
-	*t = OrdererLease{held: true, validUntil: from.Add(ttl * (leaseDivisor - 1) / leaseDivisor), renewAt: from.Add(ttl / leaseDivisor)}
+	*t = OrdererLease{held: true, grantedAt: from, validUntil: from.Add(ttl * (leaseDivisor - 1) / leaseDivisor), renewAt: from.Add(ttl / leaseDivisor)}
 }
 
 // Expired records the store's answer that the lease no longer exists.
@@ -124,7 +145,7 @@
 	}
 	t.renewAt = now.Add(renewRetryInterval)
 	switch {
-	case now.Before(t.validUntil):
+	case t.Valid(now):
 		return ActionOrder
 	case now.Add(-w.ListAge).After(t.firstFailureAt), w.LiveEntries == 1:
 		t.Expired()
@@ -133,6 +154,7 @@
 		return ActionNone
 	}
 	t.outage = true
+	t.grantedAt = now
 	t.renewAt = now.Add(LeaseTTL / leaseDivisor)
 	t.validUntil = t.renewAt
 	return ActionOrder
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -266,8 +266,10 @@
 			g.Log.WithError(err).Warn("plan not stored")
 		}
 	}
+	lease, substitute := o.leaseState, o.substitute
+	mayOrder := func() bool { return lease.Valid(g.now()) || substitute && g.now().Sub(now) < orderTimeout }
 	for _, order := range so.Orders(s.Engine, servers, failing, now) {
-		go g.giveOrder(s, order, anyHoldsLayers(servers))
+		go g.giveOrder(s, order, anyHoldsLayers(servers), mayOrder)
 	}
 }
 
@@ -344,7 +346,9 @@
 
 // giveOrder gives one order to an engine. If the service is serving requests, it then
 // polls the engine's report until the order is done or maxConfirmAttempts are over.
-func (g *Gate) giveOrder(s *savoryrouting.Service, order savoryplacement.Order, serving bool) {
+// mayOrder reports whether the lease still allows the order: the process may have been
+// paused since the order was decided.
+func (g *Gate) giveOrder(s *savoryrouting.Service, order savoryplacement.Order, serving bool, mayOrder func() bool) {
 	report, err := g.engineReport(order.Server)
 	if err != nil {
 		g.Log.WithError(err).WithField("server", order.Server.ID).Info("order not given: no report from the engine")
@@ -354,6 +358,10 @@
 		g.view.recordReport(order.Server.ID, report, g.config())
 		return
 	}
+	if !mayOrder() {
+		g.Log.WithField("server", order.Server.ID).Info("order not given: the lease has run out since the decision")
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	result, err := g.Engines.Place(ctx, order.Server.Address, order.Server.ID, order.Layers, report.OrderCount, order.Urgent)
 	cancel()
