--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -145,7 +145,11 @@
 	address, ok := report.StalledOn[a.caller.ID]
 	if !ok {
 		if idle > unexplainedStallTimeout {
-			a.log.WithField("path", chain.String()).Info("stream stalled without a known cause")
+			// The first engine responds and waits for no other, so it is doubted itself,
+			// until it makes events for another stream.
+			until := g.view.recordFailure(first.Server, false, g.now())
+			a.avoidServer(first.Server)
+			a.log.WithFields(log.Fields{"path": chain.String(), "avoidedMs": until.Sub(g.now()).Milliseconds()}).Info("stream stalled without a known cause")
 			w.cancelIfMovable()
 		}
 		return false
