--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -59,13 +59,6 @@
 	// the same engines until the next exchange of loads.
 	jitterFractionPerEntry = 0.01
 	maxJitterFraction      = 0.6
-	// maxCrossZoneBandwidthFraction is the fraction of the bandwidth between
-	// zones that chains over several zones may use. All these chains share the
-	// link, and it may be slow.
-	maxCrossZoneBandwidthFraction = 0.25
-	// maxAdmissionGrowth bounds the growth of the admitted fraction of chains
-	// over several zones at each report of the peers.
-	maxAdmissionGrowth = 1.25
 	// queueWaitFraction is the fraction of an engine's pass time that a request
 	// waits for its turn at each hop.
 	queueWaitFraction = 0.25
@@ -106,11 +99,6 @@
 	First int
 }
 
-// CrossZoneLink is the Server of the Load that reports how much an entry recently
-// sent over the link between zones. Its Memory is a sum of tokens, each counted
-// once for each hop into another zone.
-const CrossZoneLink = "link between zones"
-
 // Table holds the engines of one service and their load. Its exported fields
 // are set before its first use.
 type Table struct {
@@ -172,54 +160,14 @@
 	at    time.Time
 }
 
-// formerEngineTTL is how long a former engine is kept. Engines that drain end
-// sooner.
-const formerEngineTTL = 30 * time.Second
-
-// formerEngine is an engine that is given no new work. since is the time of the
-// first choice of a chain without it.
-type formerEngine struct {
-	Engine
-	since time.Time
-}
-
 // SetEngines sets the engines that may be given new work and the service that
 // they run.
 func (t *Table) SetEngines(e *savoryrouting.Engine, engines []Engine) {
-	if t.former == nil {
-		t.former = make(map[string]formerEngine)
-	}
-	for _, old := range t.engines {
-		t.former[old.ID] = formerEngine{Engine: old}
-	}
-	for i := range engines {
-		delete(t.former, engines[i].ID)
-	}
+	t.keepFormer(engines)
 	t.engine = e
 	t.engines = engines
 }
 
-// currentEngines returns the former engines that run the request, with the layers
-// that they run for it, and removes those that are too old.
-func (t *Table) currentEngines(r Request, now time.Time) []*Engine {
-	var current []*Engine
-	for id, f := range t.former {
-		switch {
-		case f.since.IsZero():
-			f.since = now
-			t.former[id] = f
-		case now.Sub(f.since) > formerEngineTTL:
-			delete(t.former, id)
-			continue
-		}
-		if layers := r.CurrentChain.LayersOf(id); !layers.Empty() {
-			f.Holds = layers
-			current = append(current, &f.Engine)
-		}
-	}
-	return current
-}
-
 // SetPeer sets the load that a peer has in flight.
 func (t *Table) SetPeer(peer string, loads []Load, now time.Time) {
 	if t.peerLoads == nil {
@@ -281,89 +229,6 @@
 	t.crossZoneTokens.add(float64(tokens*t.zoneCrossings(chain)), now)
 }
 
-// zoneCrossings returns the number of hops of a chain that cross into another
-// zone.
-func (t *Table) zoneCrossings(chain Chain) int {
-	zones := make(map[string]string, len(t.engines))
-	for id, f := range t.former {
-		zones[id] = f.Zone
-	}
-	for i := range t.engines {
-		zones[t.engines[i].ID] = t.engines[i].Zone
-	}
-	n := 0
-	for i := 1; i < len(chain); i++ {
-		if zones[chain[i].Server] != zones[chain[i-1].Server] {
-			n++
-		}
-	}
-	return n
-}
-
-// crossZoneBudget returns the number of tokens that all entries together may send
-// between zones in unreportedWindow, or 0 if the bandwidth is unknown.
-func (t *Table) crossZoneBudget() float64 {
-	e := t.engine
-	if e == nil || e.PipeMbps <= 0 || e.ActivationBytes <= 0 {
-		return 0
-	}
-	const bitsPerMbit = 1e6
-	return maxCrossZoneBandwidthFraction * e.PipeMbps * bitsPerMbit / 8 / float64(e.ActivationBytes) * unreportedWindow.Seconds()
-}
-
-// crossZoneLinkFree reports whether the link between zones has bandwidth for
-// another number of tokens. The bound holds for the reported traffic of all
-// entries.
-func (t *Table) crossZoneLinkFree(tokens int, now time.Time) bool {
-	budget := t.crossZoneBudget()
-	return budget == 0 || t.crossZoneSent(now)+float64(tokens) <= budget
-}
-
-// crossZoneSent returns the number of tokens that all entries recently sent
-// between zones, as far as they are reported.
-func (t *Table) crossZoneSent(now time.Time) float64 {
-	return t.crossZoneTokens.value(now) + t.peerTotals[CrossZoneLink].Memory
-}
-
-// admitCrossZone decides at random whether a new request may use a chain over
-// several zones. Reports of the peers lag, so each entry admits only a fraction
-// of its requests, which shrinks while the reported traffic exceeds its bound.
-func (t *Table) admitCrossZone() bool {
-	return t.Rand == nil || t.Rand.Float64() < t.crossZoneFraction()
-}
-
-// crossZoneFraction returns the fraction of the chains over several zones that
-// this entry admits. Before the first report it is the least fraction.
-func (t *Table) crossZoneFraction() float64 {
-	return max(t.crossZoneAdmission, t.leastCrossZoneFraction())
-}
-
-// leastCrossZoneFraction returns the fraction with which one request of usual
-// size from each entry fits the bound.
-func (t *Table) leastCrossZoneFraction() float64 {
-	usual := max(1, t.engine.UsualPrompt+t.engine.UsualAnswer)
-	budget := t.crossZoneBudget()
-	if budget == 0 {
-		return 1
-	}
-	return min(1, budget/float64(usual*max(1, t.Entries)))
-}
-
-// adjustCrossZoneAdmission adapts the admitted fraction to the reported traffic
-// between zones, once in unreportedWindow: sooner the reports do not yet include
-// the effect of the last change.
-func (t *Table) adjustCrossZoneAdmission(now time.Time) {
-	if t.engine == nil || now.Sub(t.admissionChangedAt) < unreportedWindow {
-		return
-	}
-	t.admissionChangedAt = now
-	factor := maxAdmissionGrowth
-	if sent := t.crossZoneSent(now); sent > 0 {
-		factor = min(factor, t.crossZoneBudget()/sent)
-	}
-	t.crossZoneAdmission = min(1, t.crossZoneFraction()*factor)
-}
-
 // RecordEnd records the end of a request. The chain and tokens are those given
 // to RecordStart.
 func (t *Table) RecordEnd(chain Chain, tokens int, now time.Time) { t.addLoad(chain, tokens, -1, now) }
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -122,6 +122,12 @@
 	// SlowdownFactor is above 1 for an engine that is slower than others with
 	// its accelerator.
 	SlowdownFactor float64
+	// Memory is the engine's memory for requests and UsedMemory the part that is taken
+	// and cannot yield, in tokens times layers. Memory is 0 if it is not stated.
+	Memory     float64
+	UsedMemory float64
+	// Requests is the number of requests whose chain begins at the engine.
+	Requests int
 	// StalledOn maps the ID of each request that waits for another engine to
 	// the address of that engine.
 	StalledOn map[string]netip.AddrPort
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -244,19 +244,7 @@
 	if len(servers) > 0 && anyHoldsLayers(servers) {
 		g.surveyEngines(servers, o.round)
 	}
-	for _, server := range servers {
-		if so.RecentlyOrdered(server, now) {
-			delete(failing, server.ID)
-		}
-	}
-	var engines []savoryplacement.Engine
-	for _, server := range servers {
-		if !failing[server.ID] {
-			engines = append(engines, savoryplacement.Engine{
-				ID: server.ID, Zone: server.Zone, Accelerator: server.Accelerator, Holds: server.Holds,
-			})
-		}
-	}
+	engines := so.usableEngines(servers, failing, now)
 	if so.Replan(s.Engine, engines, now) {
 		g.Log.WithFields(log.Fields{"service": s.Name, "engines": len(engines), "unit": so.Plan().Unit, "placed": len(so.Plan().Layers), "failing": len(failing)}).Info("plan changed")
 		so.planChanged = true
@@ -273,6 +261,23 @@
 	}
 }
 
+// usableEngines returns the engines to plan for, and removes from failing those that
+// were ordered recently: what looks like their failure may be the order.
+func (so *serviceOrders) usableEngines(servers []savoryroster.Server, failing map[string]bool, now time.Time) []savoryplacement.Engine {
+	var engines []savoryplacement.Engine
+	for _, server := range servers {
+		if so.RecentlyOrdered(server, now) {
+			delete(failing, server.ID)
+		}
+		if !failing[server.ID] {
+			engines = append(engines, savoryplacement.Engine{
+				ID: server.ID, Zone: server.Zone, Accelerator: server.Accelerator, Holds: server.Holds,
+			})
+		}
+	}
+	return engines
+}
+
 func anyHoldsLayers(servers []savoryroster.Server) bool {
 	for _, s := range servers {
 		if !s.Holds.Empty() {
@@ -381,9 +386,14 @@
 		g.wakeSync()
 	}
 	g.metrics.orders.WithLabelValues("Place", string(result)).Inc()
-	if !serving {
-		return
+	if serving {
+		g.awaitLoad(s, order)
 	}
+}
+
+// awaitLoad polls the report of an engine that was ordered to load layers, until the
+// order is done, maxConfirmAttempts are over, or the engine does not respond.
+func (g *Gate) awaitLoad(s *savoryrouting.Service, order savoryplacement.Order) {
 	loadedAt := g.now().Add(time.Duration(float64(s.Engine.LoadTime) * float64(order.Layers.Count()) / float64(s.Engine.Layers)))
 	for wait := loadedAt.Sub(g.now()); wait > loadCheckInterval; wait = loadedAt.Sub(g.now()) {
 		g.sleep(loadCheckInterval)
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -16,6 +16,8 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 const (
@@ -238,7 +240,7 @@
 	if err != nil || result == OrderRefused {
 		release()
 		for _, server := range unfit {
-			g.checkRefusal(a.log, server, choice.Chain)
+			g.checkRefusal(a.log, a.service, server, choice.Chain)
 		}
 		return unfit, false
 	}
@@ -371,23 +373,54 @@
 	}
 }
 
+// fullFraction is the fraction of an engine's memory or slots from which on it counts as
+// full. Its report is some hundred milliseconds old, and a usual request takes a few
+// percent.
+const fullFraction = 0.8
+
+// errRefusesWithMemory is the failure of an engine that refuses requests although it
+// holds the layers and has memory: it is leaving, or in trouble.
+var errRefusesWithMemory = errors.New("the engine refuses requests although it has memory")
+
+// refusalCause returns the failure of an engine that refused a request for layers, given
+// its report or the error in place of it. It returns nil if the engine has not failed: it
+// is short of memory or slots or gives up its layers. slots is 0 if the engine is not the
+// first of the chain.
+func refusalCause(report Report, err error, layers savoryworld.LayerRange, slots int) error {
+	switch {
+	case err != nil:
+		return err
+	case slots > 0 && float64(report.Requests) >= fullFraction*float64(slots):
+		return nil
+	case report.Busy || report.Holds.Intersect(layers) != layers:
+		return nil
+	case report.Memory > 0 && report.UsedMemory < fullFraction*report.Memory:
+		return errRefusesWithMemory
+	}
+	return nil
+}
+
 // checkRefusal records that an engine of a chain refused a request, or was named as
-// the cause of a refusal, and asks the engine for its report: an engine that responds
-// is short of memory or gives up its layers, another one has failed.
-func (g *Gate) checkRefusal(logger log.Interface, server string, chain savorypath.Chain) {
+// the cause of a refusal, and asks the engine for its report.
+func (g *Gate) checkRefusal(logger log.Interface, service *savoryrouting.Service, server string, chain savorypath.Chain) {
 	first := g.view.recordRefusal(server, g.now())
 	i := slices.IndexFunc(chain, func(h savorypath.Hop) bool { return h.Server == server })
 	if !first || i < 0 {
 		return // another refusal has started a check, or the address is unknown
 	}
+	slots := 0
+	if i == 0 {
+		slots = service.Engine.Slots
+	}
 	go func() {
-		_, err := g.report(g.ctx, chain[i].Address)
-		if err == nil || g.ctx.Err() != nil {
+		report, err := g.report(g.ctx, chain[i].Address)
+		if err = refusalCause(report, err, chain[i].Layers, slots); err == nil || g.ctx.Err() != nil {
 			return
 		}
 		now := g.now()
-		until := g.view.recordFailure(server, errors.Is(err, syscall.ECONNREFUSED), now)
-		logger.WithError(err).WithFields(log.Fields{"server": server, "avoidedMs": until.Sub(now).Milliseconds()}).Info("engine that caused a refusal does not respond")
+		share := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errRefusesWithMemory)
+		until := g.view.recordFailure(server, share, now)
+		logger.WithError(err).WithFields(log.Fields{"server": server, "avoidedMs": until.Sub(now).Milliseconds()}).Info("engine that caused a refusal has failed")
 	}()
 }
 
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -395,7 +395,7 @@
 			fault = a.chain[0].Server
 		}
 		a.avoidServer(fault)
-		a.g.checkRefusal(a.log, fault, a.chain)
+		a.g.checkRefusal(a.log, a.service, fault, a.chain)
 		return
 	}
 	a.recordMayHaveRun(a.chain[0].Server)
