--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -89,6 +89,9 @@
 
 // Load is the load that one entry has in flight at an engine.
 type Load struct {
+	// Exchanges carry a Load for each engine, so it is encoded without field names.
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Server string
 	// Requests is the number of requests. Memory is the sum over them of tokens
 	// times layers.
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -43,6 +43,10 @@
 
 // Entry is an entry that is live according to the sender.
 type Entry struct {
+	// Exchanges carry an Entry for each live entry, so it is encoded without field
+	// names.
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Address netip.AddrPort
 	Zone    string
 	// Strength is the processor share of the entry's VM in cores. The entries
@@ -73,10 +77,12 @@
 	Draining bool `msgpack:",omitempty"`
 	// StoreWorks is set if the sender has recently reached the store, Orderer if
 	// it gives the orders to engines.
-	StoreWorks bool    `msgpack:",omitempty"`
-	Orderer    bool    `msgpack:",omitempty"`
-	Entries    []Entry `msgpack:",omitempty"`
-	Known      Versions
+	StoreWorks bool `msgpack:",omitempty"`
+	Orderer    bool `msgpack:",omitempty"`
+	// Entries are the entries that are live according to the sender; none if they are
+	// as reported shortly before.
+	Entries []Entry `msgpack:",omitempty"`
+	Known   Versions
 	// Loads is the work that the sender has in flight at engines. If Relayed is
 	// set, Loads includes the work of the entries for which the sender relays,
 	// except that of the receiver.
--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -60,7 +60,7 @@
 
 func (r *relay) state(to savorypeer.Entry, now time.Time) *savorypeer.SyncState {
 	loads, relayed := r.loadsFor(to, oneLoad, now)
-	return &savorypeer.SyncState{From: r.self, Draining: r.draining(), StoreWorks: true, Entries: r.entriesToReport(now), Loads: loads, Relayed: relayed}
+	return &savorypeer.SyncState{From: r.self, Draining: r.draining(), StoreWorks: true, Entries: r.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed}
 }
 
 // round makes each running entry exchange state with its targets.
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
@@ -51,6 +52,9 @@
 	// maxLeaderInterval, so that they count as live.
 	maxLeaderCallsPerSecond = 240
 	maxLeaderInterval       = peerTTL / 2
+	// entriesInterval is the least interval at which an unchanged set of live entries
+	// is reported again to a peer. A report counts for peerTTL.
+	entriesInterval = peerTTL / 2
 	// maxStoreReaders is the number of entries that read the configuration and the
 	// list of servers from the store and pass them to the others.
 	maxStoreReaders = 1
@@ -89,6 +93,10 @@
 	loads   []savorypath.Load
 	relayed bool
 	calling bool
+	// reportedEntries is the fingerprint of the live entries that were last reported
+	// to the peer, at entriesReportedAt.
+	reportedEntries   uint64
+	entriesReportedAt time.Time
 }
 
 func (p *relayPeer) live(now time.Time) bool { return now.Sub(p.contactAt) < peerTTL }
@@ -426,6 +434,36 @@
 	return all
 }
 
+// newEntriesFor returns the live entries to report to a peer: all of them if they have
+// changed since the last report or entriesInterval has passed, and none otherwise. In a
+// large fleet they are most of a message.
+func (r *relay) newEntriesFor(to netip.AddrPort, now time.Time) []savorypeer.Entry {
+	all := r.entriesToReport(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[to]
+	if p == nil {
+		return all
+	}
+	fingerprint := fingerprintOf(all)
+	if fingerprint == p.reportedEntries && now.Sub(p.entriesReportedAt) < entriesInterval {
+		return nil
+	}
+	p.reportedEntries, p.entriesReportedAt = fingerprint, now
+	return all
+}
+
+// fingerprintOf returns a fingerprint of the addresses of sorted entries.
+func fingerprintOf(entries []savorypeer.Entry) uint64 {
+	d := xxhash.New()
+	for _, e := range entries {
+		a := e.Address.Addr().As16()
+		port := e.Address.Port()
+		_, _ = d.Write(append(a[:], byte(port>>8), byte(port))) // a digest returns no error
+	}
+	return d.Sum64()
+}
+
 // wakeSync starts the next round of exchanges at once.
 func (g *Gate) wakeSync() {
 	select {
@@ -506,7 +544,7 @@
 	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
 	state := &savorypeer.SyncState{
 		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
-		Entries: g.relay.entriesToReport(now), Loads: loads, Relayed: relayed,
+		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
 	state.Known.StoreEra = g.storeEra.Load()
