--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -90,7 +90,7 @@
 // Load is the load that one entry has in flight at an engine.
 type Load struct {
 	// Exchanges carry a Load for each engine, so it is encoded without field names.
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the encoder reads its tag
 
 	Server string
 	// Requests is the number of requests. Memory is the sum over them of tokens
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -45,7 +45,7 @@
 type Entry struct {
 	// Exchanges carry an Entry for each live entry, so it is encoded without field
 	// names.
-	_msgpack struct{} `msgpack:",as_array"`
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the encoder reads its tag
 
 	Address netip.AddrPort
 	Zone    string
