savoryctl, savorystand: name a lost entry and an unknown measurement

Left over from the rewording: submit called a lost entry a failed backend server; measure NAME with an unknown name succeeded; the error of a service without servers did not name it; ErrOlder was unused; savoryengine said response for answer.

--- a/savorycore/savoryengine/wire.go
+++ b/savorycore/savoryengine/wire.go
@@ -54,7 +54,7 @@
 	// Emitted lists the tokens that the caller already has. The first new token
 	// has index len(Emitted).
 	Emitted []string
-	// MaxTokens is the index at which the response ends.
+	// MaxTokens is the index at which the answer ends.
 	MaxTokens int
 	Priority  int
 	Sampling  Sampling
@@ -66,7 +66,7 @@
 	Temperature *float64 `json:",omitempty"`
 	TopP        *float64 `json:",omitempty"`
 	Seed        *int64   `json:",omitempty"`
-	// Stop lists texts at which the response ends.
+	// Stop lists texts at which the answer ends.
 	Stop []string `json:",omitempty"`
 }
 
--- a/savorycore/savoryrouting/config.go
+++ b/savorycore/savoryrouting/config.go
@@ -7,7 +7,6 @@
 package savoryrouting
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -259,6 +258,3 @@
 	}
 	return nil
 }
-
-// ErrOlder means that a version is older than the version in force.
-var ErrOlder = errors.New("the configuration is older than the one in force")
--- a/savoryctl/document.go
+++ b/savoryctl/document.go
@@ -134,12 +134,24 @@
 		// accepted it.
 		if savoryverdict.Of(err) == savoryverdict.NotRun || attempt == maxSubmitAttempts {
 			fmt.Fprintf(s.errOut, "submission %s\n", id)
-			return savoryverdict.Wrap(err)
+			return submitError(err)
 		}
 		time.Sleep(submitRetryDelay)
 	}
 }
 
+// submitError returns err with a verdict. An error without one is that of an entry from
+// which no answer came.
+func submitError(err error) error {
+	var refused *savoryverdict.Error
+	if errors.As(err, &refused) {
+		return err
+	}
+	return &savoryverdict.Error{
+		Verdict: savoryverdict.Of(err), Code: "NoAnswer", Message: "the entry did not answer", Err: err,
+	}
+}
+
 // readDocument reads and parses a document, and returns its text as well.
 func readDocument(file string) (*savoryconfig.Document, []byte, error) {
 	text, err := os.ReadFile(file)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -51,7 +52,7 @@
 }
 
 // errNoServer is returned if a service has no available server.
-var errNoServer = errors.New("service has no available server")
+var errNoServer = errors.New("no server is available")
 
 // reading identifies one reading of the platform's list and its time.
 type reading struct {
@@ -234,7 +235,7 @@
 	defer v.mu.Unlock()
 	servers := slices.DeleteFunc(v.roster.Available(service), func(s savoryroster.Server) bool { return tried[s.ID] })
 	if len(servers) == 0 {
-		return serverChoice{}, errNoServer
+		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNoServer)
 	}
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	loadRank := func(s savoryroster.Server) float64 {
--- a/savorystand/measure.go
+++ b/savorystand/measure.go
@@ -7,12 +7,19 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
 	"savorycart.example/savorystand/savorylab"
 )
 
+// measurement is a measurement with its name on the command line.
+type measurement struct {
+	name string
+	run  func(newLab func() savorylab.Lab) error
+}
+
 func runMeasure(args []string) error {
 	flags := flag.NewFlagSet("measure", flag.ContinueOnError)
 	seed := flags.Uint64("seed", 1, "`seed` of the run")
@@ -28,11 +35,7 @@
 			PromptTokens: 160, AnswerTokens: 80,
 		}
 	}
-	selected := flags.Arg(0)
-	for _, m := range []struct {
-		name string
-		run  func(func() savorylab.Lab) error
-	}{
+	measurements := []measurement{
 		{"routing", measureRouting},
 		{"prefixes", measurePrefixes},
 		{"customers", measureCustomers},
@@ -41,10 +44,15 @@
 		{"messages", func(func() savorylab.Lab) error { return measureMessages() }},
 		{"leaving", func(func() savorylab.Lab) error { return measureLeaving() }},
 		{"slopes", func(func() savorylab.Lab) error { return measureSlopes(*realTime) }},
-	} {
-		if selected != "" && selected != m.name {
-			continue
+	}
+	if name := flags.Arg(0); name != "" {
+		i := slices.IndexFunc(measurements, func(m measurement) bool { return m.name == name })
+		if i < 0 {
+			return fmt.Errorf("measurement %q does not exist", name)
 		}
+		measurements = measurements[i : i+1]
+	}
+	for _, m := range measurements {
 		fmt.Println("#", m.name, "seed", *seed)
 		if err := m.run(newLab); err != nil {
 			return err
