--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -241,8 +241,8 @@
 	}
 	now := g.now()
 	servers, failing := g.view.servers(s.Name, now)
-	if len(servers) > 0 && anyHoldsLayers(servers) {
-		g.surveyEngines(servers, o.round)
+	if anyHoldsLayers(servers) {
+		g.surveyEngines(servers, failing, o.round)
 	}
 	engines := so.usableEngines(servers, failing, now)
 	if so.Replan(s.Engine, engines, now) {
--- a/savoryentry/savorygate/slow.go
+++ b/savoryentry/savorygate/slow.go
@@ -37,12 +37,14 @@
 	at     time.Time
 }
 
-// surveyEngines asks the next engines for their reports. round counts the rounds of
-// the orderer.
-func (g *Gate) surveyEngines(servers []savoryroster.Server, round int) {
+// surveyEngines asks the next engines for their reports, except those that are failing.
+// round counts the rounds of the orderer.
+func (g *Gate) surveyEngines(servers []savoryroster.Server, failing map[string]bool, round int) {
 	calls := min(maxSurveyCalls, (len(servers)+surveyRounds-1)/surveyRounds)
 	for i := range calls {
-		go g.surveyEngine(servers[(round*calls+i)%len(servers)])
+		if server := servers[(round*calls+i)%len(servers)]; !failing[server.ID] {
+			go g.surveyEngine(server)
+		}
 	}
 }
 
