--- a/savorycore/savorypath/crosszone.go
+++ b/savorycore/savorypath/crosszone.go
@@ -11,7 +11,8 @@
 	// link, and it may be slow.
 	maxCrossZoneBandwidthFraction = 0.25
 	// maxAdmissionGrowth bounds the growth of the admitted fraction of chains
-	// over several zones at each report of the peers.
+	// over several zones in unreportedWindow, so that it about doubles in a
+	// second; it shrinks at once.
 	maxAdmissionGrowth = 1.25
 )
 
