--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -24,11 +24,14 @@
 const (
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
-	// maxChainWait bounds how long after its last event a stream that may have
-	// run waits for a chain; callers leave after a pause of about two seconds.
-	maxChainWait = 1500 * time.Millisecond
-	// chainPollInterval is the time between two attempts to choose a chain
-	// during this wait.
+	// minPatience, objectivesOfPatience and gapsOfPatience state how long callers
+	// wait for an event: the longest of minPatience and these multiples of the
+	// latency objectives for the first event and for the time between events.
+	minPatience          = 2 * time.Second
+	objectivesOfPatience = 4
+	gapsOfPatience       = 8
+	// chainPollInterval is the time between two attempts to choose a chain, or to
+	// take a retry, during this wait.
 	chainPollInterval = 50 * time.Millisecond
 	// maxStreamSends bounds how often one stream is sent to an engine.
 	maxStreamSends = 6
@@ -112,9 +115,8 @@
 }
 
 // chooseChain chooses a chain and counts the request in the load of its engines,
-// until endChain. If the request may have run, it waits up to
-// maxChainWait for a chain, since a refusal could no longer promise that the
-// request has not run.
+// until endChain. If the request may have run, it waits for a chain as long as the
+// caller does, since a refusal could no longer promise that the request has not run.
 func (s *stream) chooseChain() (savorypath.Choice, error) {
 	for {
 		now := s.g.now()
@@ -127,14 +129,25 @@
 			}, "chain chosen")
 			return choice, nil
 		}
-		if !s.mayHaveRun || now.Sub(s.lastEventAt) > maxChainWait || now.After(s.deadline) {
+		if !s.mayHaveRun || !s.waitWithCaller() {
 			return choice, err
 		}
-		select {
-		case <-s.r.Context().Done():
-			return choice, err
-		case <-time.After(chainPollInterval):
-		}
+	}
+}
+
+// waitWithCaller waits for chainPollInterval and reports whether the caller still
+// waits for an event.
+func (s *stream) waitWithCaller() bool {
+	patience := max(minPatience, objectivesOfPatience*s.route.Objective, gapsOfPatience*s.route.GapObjective)
+	now := s.g.now()
+	if now.Sub(s.lastEventAt) > patience || now.After(s.deadline) {
+		return false
+	}
+	select {
+	case <-s.r.Context().Done():
+		return false
+	case <-time.After(chainPollInterval):
+		return true
 	}
 }
 
@@ -234,9 +247,12 @@
 	if s.retryTaken.CompareAndSwap(true, false) || notSent(a.err) {
 		return true
 	}
-	if !s.g.allowRetry(s.service.Name) {
-		s.log.WithField("reason", "retry budget used up").Info("request not sent again")
-		return false
+	for !s.g.allowRetry(s.service.Name) {
+		// A stream that has begun waits for the budget: it could only be cut off.
+		if s.eventCount == 0 || !s.waitWithCaller() {
+			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
+			return false
+		}
 	}
 	return true
 }
