--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -11,16 +11,12 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
@@ -419,51 +415,6 @@
 	return recovered
 }
 
-// entriesToReport returns the live peers, and the entries of other zones that were
-// lately reported as live.
-func (r *relay) entriesToReport(now time.Time) []savorypeer.Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var all []savorypeer.Entry
-	for _, p := range r.peers {
-		if p.live(now) || p.entry.Zone != r.self.Zone && now.Sub(p.reportedAt) < peerTTL {
-			all = append(all, p.entry)
-		}
-	}
-	slices.SortFunc(all, func(a, b savorypeer.Entry) int { return a.Address.Compare(b.Address) })
-	return all
-}
-
-// newEntriesFor returns the live entries to report to a peer: all of them if they have
-// changed since the last report or entriesInterval has passed, and none otherwise. In a
-// large fleet they are most of a message.
-func (r *relay) newEntriesFor(to netip.AddrPort, now time.Time) []savorypeer.Entry {
-	all := r.entriesToReport(now)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.peers[to]
-	if p == nil {
-		return all
-	}
-	fingerprint := fingerprintOf(all)
-	if fingerprint == p.reportedEntries && now.Sub(p.entriesReportedAt) < entriesInterval {
-		return nil
-	}
-	p.reportedEntries, p.entriesReportedAt = fingerprint, now
-	return all
-}
-
-// fingerprintOf returns a fingerprint of the addresses of sorted entries.
-func fingerprintOf(entries []savorypeer.Entry) uint64 {
-	d := xxhash.New()
-	for _, e := range entries {
-		a := e.Address.Addr().As16()
-		port := e.Address.Port()
-		_, _ = d.Write(append(a[:], byte(port>>8), byte(port))) // a digest returns no error
-	}
-	return d.Sum64()
-}
-
 // wakeSync starts the next round of exchanges at once.
 func (g *Gate) wakeSync() {
 	select {
@@ -591,25 +542,3 @@
 		g.forwardToZone()
 	}
 }
-
-// formatEntry returns the text under which an entry is registered in the store.
-func formatEntry(e savorypeer.Entry) string {
-	return e.Zone + " " + strconv.FormatFloat(e.Strength, 'f', 3, 64)
-}
-
-// parseEntry parses a text of formatEntry.
-func parseEntry(address, text string) (savorypeer.Entry, error) {
-	at, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return savorypeer.Entry{}, err
-	}
-	zone, strength, ok := strings.Cut(text, " ")
-	if !ok {
-		return savorypeer.Entry{}, fmt.Errorf("registered entry %q: strength is missing", text)
-	}
-	e := savorypeer.Entry{Address: at, Zone: zone}
-	if e.Strength, err = strconv.ParseFloat(strength, 64); err != nil {
-		return savorypeer.Entry{}, fmt.Errorf("registered entry %q: invalid strength: %w", text, err)
-	}
-	return e, nil
-}
