savorygate: count calls to peers and log the first that fails; connections are opened by a function field

Nothing at level info told an exchange that takes too long from a peer that is gone: failed exchanges were logged at debug only and not counted. The line has the time taken, both versions and whether a configuration was sent. Gate.Dial lets a test put a slow link between an entry and its peers and engines; it changes no behaviour.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -68,6 +68,8 @@
 	DialTimeout time.Duration
 	// OnDial, if set, is called after each new connection.
 	OnDial func()
+	// Dial opens a connection; nil uses Dialer.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	pool Pool[netip.AddrPort, *conn]
 }
@@ -317,7 +319,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
 	defer cancel()
-	nc, err := Dialer().DialContext(ctx, "tcp", address.String())
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
@@ -349,6 +355,10 @@
 	}
 }
 
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return Dialer().DialContext(ctx, "tcp", address.String())
+}
+
 // isReusable reports whether an idle connection is open and has no bytes to
 // read. A connection that the server has closed, or on which it has sent bytes
 // that belong to no request, must not be used.
--- a/savorycore/savorypeer/client.go
+++ b/savorycore/savorypeer/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,8 @@
 	Credentials credentials.TransportCredentials
 	// Timeout bounds each call.
 	Timeout time.Duration
+	// Dial opens a connection; nil uses the dialer of gRPC.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*peerConn
@@ -129,14 +132,18 @@
 	if creds == nil {
 		creds = insecure.NewCredentials()
 	}
-	conn, err := grpc.NewClient("passthrough:///"+to.String(),
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		grpc.WithStatsHandler((*trafficCounter)(c)),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableServiceConfig(),
-	)
+	}
+	if c.Dial != nil {
+		options = append(options, grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return c.Dial(ctx, to) }))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+to.String(), options...)
 	if err != nil {
 		return nil, fmt.Errorf("peer %s: %w", to, err)
 	}
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -229,11 +229,7 @@
 
 // recordStoreResult records the result of a store call.
 func (g *Gate) recordStoreResult(op string, err error) {
-	result := "ok"
-	if err != nil {
-		result = "failed"
-	}
-	g.metrics.storeCalls.WithLabelValues(op, result).Inc()
+	g.metrics.storeCalls.WithLabelValues(op, resultOf(err)).Inc()
 	if err == nil {
 		g.storeContactAt.Store(g.now())
 		if g.storeUnreachable.CompareAndSwap(true, false) {
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -55,6 +55,8 @@
 	Store   Store
 	Engines Engines
 	Log     *log.Logger
+	// Dial opens connections to backend servers and peers; nil uses the usual dialers.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// LogDropped returns the number of dropped log lines.
 	LogDropped func() int64
 
@@ -132,8 +134,8 @@
 	for _, seed := range s.Seeds {
 		g.relay.addEntries([]savorypeer.Entry{{Address: seed}}, g.now())
 	}
-	g.peerClient = &savorypeer.Client{Timeout: syncTimeout}
-	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc}
+	g.peerClient = &savorypeer.Client{Timeout: syncTimeout, Dial: g.Dial}
+	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
 	g.budgets = make(map[string]*savorylimit.WindowBudget)
 	g.idleSince = make(map[net.Conn]time.Time)
 	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -89,6 +89,8 @@
 	loads   []savorypath.Load
 	relayed bool
 	calling bool
+	// failed is set while the last call to the peer failed and no contact followed.
+	failed bool
 	// reportedEntries is the fingerprint of the live entries that were last reported
 	// to the peer, at entriesReportedAt.
 	reportedEntries   uint64
@@ -401,7 +403,7 @@
 	}
 	recovered = !p.live(now)
 	p.contactAt, p.draining, p.storeWorks, p.orderer, p.versions = now, s.Draining, s.StoreWorks, s.Orderer, s.Known
-	p.loads, p.relayed = s.Loads, s.Relayed
+	p.loads, p.relayed, p.failed = s.Loads, s.Relayed, false
 	for _, e := range s.Entries {
 		q := r.add(e, now)
 		if q != nil && (e.Zone == s.From.Zone || s.From.Zone == r.self.Zone) {
@@ -460,14 +462,56 @@
 // syncWith exchanges state with one peer. known is as returned by beginCall.
 func (g *Gate) syncWith(address netip.AddrPort, known *savorypeer.Versions) {
 	defer g.relay.endCall(address)
-	state, err := g.peerClient.Sync(g.ctx, address, g.syncState(g.relay.entry(address), known))
+	sent, startedAt := g.syncState(g.relay.entry(address), known), g.now()
+	state, err := g.peerClient.Sync(g.ctx, address, sent)
+	g.metrics.peerCalls.WithLabelValues("sync", resultOf(err)).Inc()
 	if err != nil {
-		g.Log.WithError(err).WithField("peer", address.String()).Debug("peer did not respond")
+		if g.ctx.Err() == nil {
+			g.logFailedCall(address, sent, g.now().Sub(startedAt), err)
+		}
 		return
 	}
 	g.applySyncState(state)
 }
 
+// logFailedCall logs a failed call to a peer, the first after a contact at info level:
+// with the versions and whether a configuration was sent, it tells a peer that is gone
+// from a message that takes too long.
+func (g *Gate) logFailedCall(address netip.AddrPort, sent *savorypeer.SyncState, took time.Duration, err error) {
+	peerConfig, first := g.relay.recordFailedCall(address)
+	logger := g.Log.WithError(err).WithFields(log.Fields{
+		"peer": address.String(), "tookMs": took.Milliseconds(), "config": sent.Known.Config, "peerConfig": peerConfig, "configSent": sent.Config != nil,
+	})
+	if first {
+		logger.Info("peer did not respond")
+		return
+	}
+	logger.Debug("peer did not respond")
+}
+
+// recordFailedCall records that a call to a peer failed. It returns the version of the
+// configuration that the peer had last, and whether the call is the first to fail since
+// the last contact.
+func (r *relay) recordFailedCall(address netip.AddrPort) (config int64, first bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.peers[address]
+	if p == nil {
+		return 0, false
+	}
+	first = !p.failed && !p.contactAt.IsZero()
+	p.failed = true
+	return p.versions.Config, first
+}
+
+// resultOf returns the label of a call's result.
+func resultOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
 // entry returns the entry at an address, without zone and strength if it is
 // unknown.
 func (r *relay) entry(address netip.AddrPort) savorypeer.Entry {
