savorygate: fetch configurations from peers in parts, compressed, one at a time

Cause: a peer sent the whole configuration in each exchange with an entry that lacked it, and both sides gave the exchange up after 500 ms. 4,250 routes with random names are 0.81 MB in a message, 0.32 s at 20 Mbit/s; two copies at once, or one beside a reading of the store, take longer. Each copy was thrown away and the next one begun, from several peers at once, without end. The link was full, so events, handshakes and reports of all engines waited, and the entry took them for failed. Class: a transfer that is longer than its time limit and begins again from its first byte. Evidence: (2 to 3 MB/s received at the four late entries alone, errors to all destinations at once), and the failing test. The fix: exchanges state versions only. The entry that lacks one fetches it, one part of 64 KB at a time from one peer at a time; parts that have arrived are kept across failures and peers, and the sender keeps the last four versions, so the transfer ends at any speed. The packed form of those routes is 0.097 MB (11 ms to make, 14 ms to read, unlimited processor) and is made once for each version. Builds that do not fetch still get the configuration in the exchange.

--- a/savorycore/savorypeer/codec.go
+++ b/savorycore/savorypeer/codec.go
@@ -22,6 +22,8 @@
 	_ message = (*Ack)(nil)
 	_ message = (*Fetch)(nil)
 	_ message = (*State)(nil)
+	_ message = (*ConfigRequest)(nil)
+	_ message = (*ConfigPart)(nil)
 )
 
 // codec encodes messages as MessagePack.
--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -20,7 +20,7 @@
 	// Guards against a change of the bytes that peers exchange, such as by a
 	// renamed field without a tag or an enum with another text. A process of
 	// another build would read zero values.
-	savorygolden.Texts(t, "method", codecName, serviceName, methodExchange, methodOffer, methodFetch, methodSync)
+	savorygolden.Texts(t, "method", codecName, serviceName, methodExchange, methodOffer, methodFetch, methodSync, methodConfigPart)
 	at := time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC)
 	address := netip.MustParseAddrPort("10.0.0.1:7001")
 	layers := savoryworld.LayerRange{From: 3, To: 12}
@@ -35,6 +35,8 @@
 	messages := savorygolden.MessagePack
 	messages.Encode, messages.Decode = codec{}.Marshal, codec{}.Unmarshal
 	savorygolden.Check(t, messages, []savorygolden.Case{
+		{Name: "configRequest", Value: &ConfigRequest{Known: 7, Version: 9, Digest: 99, Offset: 65536}},
+		{Name: "configPart", Value: &ConfigPart{Version: 9, Digest: 99, Size: 65540, Offset: 65536, Body: []byte("part")}},
 		{Name: "hello", Value: &Heartbeat{
 			Address: address, Zone: "north-1", Region: "north", Draining: true, Revision: 9, MarkDigest: 99,
 			Demands: []savorylimit.Demand{{Customer: "joiner", Rate: 2.5}},
@@ -54,7 +56,7 @@
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
-			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4},
+			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults:    []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
 			Slowdowns: []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
--- a/savorycore/savorypeer/message.go
+++ b/savorycore/savorypeer/message.go
@@ -1,11 +1,12 @@
 // Package savorypeer carries messages between entries. It uses gRPC with a
 // MessagePack codec on the domain types, so that no code is generated.
 //
-// There are four calls. Exchange is the heartbeat: both sides send their
+// There are five calls. Exchange is the heartbeat: both sides send their
 // revision, the digest of their leaving marks and their demands. Offer
 // announces a new revision of the configuration and forwards new marks. Fetch
 // requests a root, buckets or marks that the caller lacks. Sync exchanges the
-// state that entries share. Each message is checked when it is decoded.
+// state that entries share. ConfigPart requests a part of a configuration.
+// Each message is checked when it is decoded.
 package savorypeer
 
 import (
--- a/savorycore/savorypeer/server.go
+++ b/savorycore/savorypeer/server.go
@@ -21,6 +21,8 @@
 	methodOffer    = "Offer"
 	methodFetch    = "Fetch"
 	methodSync     = "Sync"
+	// methodConfigPart returns a part of a configuration.
+	methodConfigPart = "ConfigPart"
 	// maxMessageBytes bounds one message.
 	maxMessageBytes = 16 << 20
 	// keepaliveInterval is the time without a message after which a connection
@@ -44,6 +46,8 @@
 	// Sync exchanges state with another entry. A call whose function is nil is
 	// refused as unimplemented.
 	Sync func(context.Context, *SyncState) (*SyncState, error)
+	// ConfigPart returns a part of the configuration.
+	ConfigPart func(context.Context, *ConfigRequest) (*ConfigPart, error)
 
 	grpc *grpc.Server
 }
@@ -84,6 +88,7 @@
 			methodDesc(methodOffer, s.Offer),
 			methodDesc(methodFetch, s.Fetch),
 			methodDesc(methodSync, s.Sync),
+			methodDesc(methodConfigPart, s.ConfigPart),
 		},
 	}
 }
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -34,6 +34,9 @@
 	// the time of the read forward by the delay of the message, and an age that
 	// came back would make the list look newer than it is.
 	ListReading uint64
+	// FetchesConfig is set if the sender fetches configurations itself. A sender that does
+	// not, of an older build, gets them in SyncState.Config.
+	FetchesConfig bool `msgpack:",omitempty"`
 }
 
 // ListPosition returns the store's position of the list of servers.
@@ -69,8 +72,8 @@
 	Age    time.Duration
 }
 
-// SyncState is the state that one side of a Sync sends. Config and Listing are
-// set only if the other side is known to lack them.
+// SyncState is the state that one side of a Sync sends. Listing is set only if the
+// other side is known to lack it, Config only if it does not fetch it itself either.
 type SyncState struct {
 	From Entry
 	// Draining is set if the sender is in a planned shutdown.
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -60,15 +60,20 @@
 	// LogDropped returns the number of dropped log lines.
 	LogDropped func() int64
 
-	settings         atomic.Pointer[Settings]
-	tomb             tomb.Tomb
-	ctx              context.Context
-	startedAt        time.Time
-	table            atomic.Pointer[savoryrouting.Table]
-	configMu         sync.Mutex
-	view             view
-	relay            relay
-	peerClient       *savorypeer.Client
+	settings   atomic.Pointer[Settings]
+	tomb       tomb.Tomb
+	ctx        context.Context
+	startedAt  time.Time
+	table      atomic.Pointer[savoryrouting.Table]
+	configMu   sync.Mutex
+	view       view
+	relay      relay
+	peerClient *savorypeer.Client
+	// configClient fetches configurations on connections of its own, so that exchanges
+	// do not wait behind them.
+	configClient     *savorypeer.Client
+	fetch            configFetch
+	packed           packedConfigs
 	serverClient     *savoryconn.Client
 	reports          reportCache
 	streams          activeStreams
@@ -135,6 +140,7 @@
 		g.relay.addEntries([]savorypeer.Entry{{Address: seed}}, g.now())
 	}
 	g.peerClient = &savorypeer.Client{Timeout: syncTimeout, Dial: g.Dial}
+	g.configClient = &savorypeer.Client{Timeout: partTimeout, Dial: g.Dial}
 	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
 	g.budgets = make(map[string]*savorylimit.WindowBudget)
 	g.idleSince = make(map[net.Conn]time.Time)
@@ -156,6 +162,7 @@
 	})
 	err := g.tomb.Wait()
 	g.peerClient.Close()
+	g.configClient.Close()
 	g.Log.WithField("reason", fmt.Sprint(err)).Info("entry ends")
 	if errors.Is(err, errStopped) {
 		return nil
@@ -187,7 +194,7 @@
 	router := bunrouter.New()
 	router.GET(g.Dialect.ReadyPath, bunrouter.HTTPHandlerFunc(g.handleReady))
 	readyServer := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
-	peerServer := &savorypeer.Server{Sync: g.handleSync}
+	peerServer := &savorypeer.Server{Sync: g.handleSync, ConfigPart: g.handleConfigPart}
 	peerServer.Prepare()
 	g.tomb.Go(func() error { return g.serve(server, front) })
 	g.tomb.Go(func() error { return g.serve(readyServer, ready) })
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -530,8 +530,8 @@
 }
 
 // syncState returns this entry's state for a peer that has the known versions. With
-// nil the state carries no configuration and no list: large ones would be sent for
-// nothing to peers that do not respond. The peer's own state reports what it lacks.
+// nil the state carries no list: a large one would be sent for nothing to peers that do
+// not respond. The peer's own state reports what it lacks.
 func (g *Gate) syncState(to savorypeer.Entry, known *savorypeer.Versions) *savorypeer.SyncState {
 	now := g.now()
 	listing, own := g.view.listForPeers(now)
@@ -542,10 +542,10 @@
 		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
-	state.Known.StoreEra = g.storeEra.Load()
+	state.Known.StoreEra, state.Known.FetchesConfig = g.storeEra.Load(), true
 	if cfg != nil {
 		state.Known.Config = cfg.Version
-		if known != nil && known.Config < cfg.Version {
+		if known != nil && known.Config < cfg.Version && !known.FetchesConfig {
 			state.Config = cfg
 		}
 	}
@@ -567,6 +567,7 @@
 		g.Log.WithFields(log.Fields{"peer": s.From.Address.String(), "zone": s.From.Zone, "config": s.Known.Config}).Info("contact with peer established")
 	}
 	g.ObserveStoreEra(s.Known.StoreEra)
+	g.startFetch(s.From.Address, s.Known.Config)
 	changed := s.Config != nil && g.setConfig(s.Config, "peer")
 	switch {
 	case s.Listing != nil:
