savorygate: end the time of an attempt with its buffered part

Callers of an idempotent route got a large body (over 64 KB) cut in the middle, although their deadline and the route's timeout had not passed: the timeout of an attempt (0.4 of the remaining time) also ended a response that was already being passed on.

The timer is now stopped once the buffered part has been read. Until then nothing was written to the caller, so the request can still be sent to another server; afterwards only the deadline ends it.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -143,16 +144,21 @@
 }
 
 // sendPlain sends the request to one server and reads the beginning of its
-// response. If canRetry is set and the route is repeatable, the attempt ends
-// after attemptFraction of the remaining time.
+// response. If canRetry is set and the route is repeatable, the attempt ends if
+// this takes longer than attemptFraction of the remaining time.
 func (c *call) sendPlain(choice serverChoice, canRetry bool) plainResult {
 	id := choice.server.ID
 	defer c.g.view.endServerRequest(id)
 	ctx, cancel := c.context()
+	var timer attemptTimer
 	if canRetry && c.route.Repeatable() {
+		outer := cancel
+		inner, cancelAttempt := context.WithCancelCause(ctx)
+		ctx, cancel = inner, func() { cancelAttempt(nil); outer() }
 		remaining := c.deadline.Sub(c.g.now())
-		ctx, cancel = withOuterCancel(cancel)(context.WithTimeoutCause(ctx, time.Duration(attemptFraction*float64(remaining)), errAttemptTimeout))
+		timer.start(time.Duration(attemptFraction*float64(remaining)), func() { cancelAttempt(errAttemptTimeout) })
 	}
+	defer timer.stop()
 	req := c.newServerRequest(Forward{Server: id, LastEventID: c.caller.LastEventID})
 	c.sends++
 	c.g.recordSend(c.service.Name, c.sends)
@@ -177,6 +183,9 @@
 		res.verdict = savoryverdict.NotRun
 		return res
 	}
+	if err == nil && !timer.stop() && !res.complete {
+		err = errAttemptTimeout
+	}
 	if err != nil {
 		cancel()
 		_ = response.Close()
@@ -220,12 +229,38 @@
 
 func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
 
-// withOuterCancel returns a function that makes the cancel function of a
-// derived context cancel the outer context as well.
-func withOuterCancel(outer context.CancelFunc) func(context.Context, context.CancelFunc) (context.Context, context.CancelFunc) {
-	return func(ctx context.Context, inner context.CancelFunc) (context.Context, context.CancelFunc) {
-		return ctx, func() { inner(); outer() }
+// attemptTimer ends an attempt whose server is too slow. The zero value is a
+// timer that is not started.
+type attemptTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	fired   bool
+}
+
+// start calls end after d, unless the timer is stopped before.
+func (t *attemptTimer) start(d time.Duration, end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(d, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if !t.stopped {
+			t.fired = true
+			end()
+		}
+	})
+}
+
+// stop stops the timer. It reports false if the timer has ended the attempt.
+func (t *attemptTimer) stop() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
 	}
+	t.stopped = true
+	return !t.fired
 }
 
 // cancelOnClose cancels the context of a response when the response is closed.
