savorygate: end a slow attempt only if another server is available

Evidence: one server that responds after 1.5 s, the others leaving, deadline 3 s. The new TestSlowOnlyWorkerAnswers failed:

plain_test.go:33: 502 != 200 outcome=failed sends=1 tookMs=1200 "server failed ... the server did not respond within its fraction of the remaining time"

When the time of the attempt is over, it now ends only if a server is available that was not tried and is not avoided. Otherwise the attempt goes on, and this is checked again at each poll interval, so a server that is listed meanwhile is used. TestSlowWorkerIsReplaced guards that a silent server still loses the request where another one is available.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -61,7 +61,7 @@
 		c.logDecision(log.Fields{
 			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
 		}, "server chosen")
-		res := c.sendPlain(choice, runs+1 < c.route.Attempts)
+		res := c.sendPlain(choice, tried, runs+1 < c.route.Attempts)
 		if res.response != nil && res.err == nil && res.verdict == savoryverdict.Ran {
 			c.writeResponse(res)
 			return
@@ -145,8 +145,9 @@
 
 // sendPlain sends the request to one server and reads the beginning of its
 // response. If canRetry is set and the route is repeatable, the attempt ends if
-// this takes longer than attemptFraction of the remaining time.
-func (c *call) sendPlain(choice serverChoice, canRetry bool) plainResult {
+// this takes longer than attemptFraction of the remaining time and another server
+// is available that is not in tried.
+func (c *call) sendPlain(choice serverChoice, tried map[string]bool, canRetry bool) plainResult {
 	id := choice.server.ID
 	defer c.g.view.endServerRequest(id)
 	ctx, cancel := c.context()
@@ -156,7 +157,13 @@
 		inner, cancelAttempt := context.WithCancelCause(ctx)
 		ctx, cancel = inner, func() { cancelAttempt(nil); outer() }
 		remaining := c.deadline.Sub(c.g.now())
-		timer.start(time.Duration(attemptFraction*float64(remaining)), func() { cancelAttempt(errAttemptTimeout) })
+		timer.start(time.Duration(attemptFraction*float64(remaining)), func() bool {
+			if !c.g.view.hasOtherServer(c.service.Name, id, tried, c.g.now()) {
+				return false
+			}
+			cancelAttempt(errAttemptTimeout)
+			return true
+		})
 	}
 	defer timer.stop()
 	req := c.newServerRequest(Forward{Server: id, LastEventID: c.caller.LastEventID})
@@ -238,16 +245,19 @@
 	fired   bool
 }
 
-// start calls end after d, unless the timer is stopped before.
-func (t *attemptTimer) start(d time.Duration, end func()) {
+// start calls end after d, and again at each pollInterval until it reports that
+// the attempt has ended or the timer is stopped.
+func (t *attemptTimer) start(d time.Duration, end func() bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(d, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if !t.stopped {
-			t.fired = true
-			end()
+		if t.stopped {
+			return
+		}
+		if t.fired = end(); !t.fired {
+			t.timer.Reset(pollInterval)
 		}
 	})
 }
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -261,6 +261,16 @@
 	return c, nil
 }
 
+// hasOtherServer reports whether a service has an available server besides id that
+// is neither in tried nor avoided after a failure.
+func (v *view) hasOtherServer(service, id string, tried map[string]bool, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.roster.Available(service), func(s savoryroster.Server) bool {
+		return s.ID != id && !tried[s.ID] && !v.health.Avoided(s.ID, now)
+	})
+}
+
 // avoidedPenalty is added to the load per slot of a server that is avoided; real
 // loads are far below it.
 const avoidedPenalty = 1000
