savorygate: end a slow attempt only if the budget allows a retry

Evidence: servers that respond after 1.5 s, an entry without a retry budget, deadline 3 s. TestSlowWorkerAnswersWithoutRetryBudget failed:

plain_test.go:46: 502 != 200 outcome=failed sends=1 "the server did not respond within its fraction of the remaining time"

The retry is now taken before the attempt is ended, so a refusal of the budget leaves the run as it is. The budget is asked again at each poll interval. An attempt that is ended in the middle of the buffered part keeps errAttemptTimeout as its cause, so its retry is taken only once.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -100,7 +100,8 @@
 		// The request has not arrived anywhere, so the next send repeats nothing.
 		return true
 	}
-	if !c.g.allowRetry(c.service.Name) {
+	// The end of a slow attempt has already taken the retry.
+	if !errors.Is(res.err, errAttemptTimeout) && !c.g.allowRetry(c.service.Name) {
 		c.log.WithField("reason", "retry budget used up").Info("request not sent again")
 		return false
 	}
@@ -145,8 +146,8 @@
 
 // sendPlain sends the request to one server and reads the beginning of its
 // response. If canRetry is set and the route is repeatable, the attempt ends if
-// this takes longer than attemptFraction of the remaining time and another server
-// is available that is not in tried.
+// this takes longer than attemptFraction of the remaining time, another server is
+// available that is not in tried, and the budget allows a retry.
 func (c *call) sendPlain(choice serverChoice, tried map[string]bool, canRetry bool) plainResult {
 	id := choice.server.ID
 	defer c.g.view.endServerRequest(id)
@@ -158,7 +159,7 @@
 		ctx, cancel = inner, func() { cancelAttempt(nil); outer() }
 		remaining := c.deadline.Sub(c.g.now())
 		timer.start(time.Duration(attemptFraction*float64(remaining)), func() bool {
-			if !c.g.view.hasOtherServer(c.service.Name, id, tried, c.g.now()) {
+			if !c.g.view.hasOtherServer(c.service.Name, id, tried, c.g.now()) || !c.g.allowRetry(c.service.Name) {
 				return false
 			}
 			cancelAttempt(errAttemptTimeout)
@@ -190,7 +191,7 @@
 		res.verdict = savoryverdict.NotRun
 		return res
 	}
-	if err == nil && !timer.stop() && !res.complete {
+	if !timer.stop() && (err != nil || !res.complete) {
 		err = errAttemptTimeout
 	}
 	if err != nil {
