savoryconn: don't close a connection because its server reads late

Callers with a request body larger than the receive buffer of the server got 502 from a sound server that read nothing for 1.5 s: the kernel counts the time of TCP_USER_TIMEOUT also while it probes a full receive buffer, and closed the connection though the probes were acknowledged.

Evidence: a server that reads the head, pauses 3 s and then reads a body of 1 MB.

While a body over maxSyncBodyBytes is sent, the timeout is now off; it is set again before the connection is kept. Such a request to a server that is gone now ends with its context, not after 1.5 s.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -126,9 +126,11 @@
 	body      io.ReadCloser
 	stop      func() bool
 	writeDone chan error
-	mu        sync.Mutex
-	complete  bool
-	closed    bool
+	// unackedUnbounded is set if unackedTimeout is not in force.
+	unackedUnbounded bool
+	mu               sync.Mutex
+	complete         bool
+	closed           bool
 }
 
 // Error is a failed request.
@@ -198,6 +200,9 @@
 		a.writeDone <- err
 		return
 	}
+	// The kernel counts the unacknowledged time also while a working server reads
+	// nothing and its receive buffer is full.
+	a.unackedUnbounded = a.conn.setUnackedTimeout(0) == nil
 	go func() {
 		buffers := net.Buffers{head, body}
 		_, err := buffers.WriteTo(a.conn.Conn)
@@ -275,6 +280,9 @@
 		// The request's body is still being written.
 		usable = false
 	}
+	if usable && a.unackedUnbounded {
+		usable = a.conn.setUnackedTimeout(unackedTimeout) == nil
+	}
 	if !usable {
 		return a.conn.Close()
 	}
@@ -340,15 +348,33 @@
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepaliveInterval, Interval: keepaliveInterval, Count: maxLostProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockErr error
-			err := raw.Control(func(fd uintptr) {
-				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, sockErr)
+			return setUnackedTimeout(raw, unackedTimeout)
 		},
 	}
 }
 
+// setUnackedTimeout bounds the time for which sent bytes may stay unacknowledged; 0
+// leaves it to the kernel.
+func (c *conn) setUnackedTimeout(d time.Duration) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw, d)
+}
+
+func setUnackedTimeout(raw syscall.RawConn, d time.Duration) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(err, sockErr)
+}
+
 // isReusable reports whether an idle connection is open and has no bytes to
 // read. A connection that the server has closed, or on which it has sent bytes
 // that belong to no request, must not be used.
