savorygate: don't close a connection as idle once its request is read

The request was then passed on and its answer lost.

TestIdleConnectionsAreClosed guards that idle connections still end.

--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -89,7 +89,9 @@
 	budgetMu sync.Mutex
 	budgets  map[string]*savorylimit.WindowBudget
 
-	idleMu    sync.Mutex
+	idleMu sync.Mutex
+	// idleSince holds the idle connections of callers. The time is zero once the
+	// connection is being closed.
 	idleSince map[net.Conn]time.Time
 }
 
@@ -276,6 +278,9 @@
 		g.idleSince[c] = g.now()
 		return
 	}
+	if since, ok := g.idleSince[c]; ok && state == http.StateActive && since.IsZero() {
+		_ = c.SetReadDeadline(time.Time{})
+	}
 	delete(g.idleSince, c)
 }
 
@@ -295,18 +300,25 @@
 		if cfg == nil || cfg.Limits.IdleTimeout <= 0 {
 			continue
 		}
-		g.idleMu.Lock()
-		for c, since := range g.idleSince {
-			if now.Sub(since) > cfg.Limits.IdleTimeout+sweepInterval {
-				delete(g.idleSince, c)
-				_ = c.Close()
-			}
-		}
-		g.idleMu.Unlock()
+		g.closeIdle(now, cfg.Limits.IdleTimeout+sweepInterval)
 	}
 	return nil
 }
 
+// closeIdle closes the connections that were idle for longer than timeout. It ends
+// their wait for a request instead of closing them, because a request may just have
+// been read; connState then lets the connection go on.
+func (g *Gate) closeIdle(now time.Time, timeout time.Duration) {
+	g.idleMu.Lock()
+	defer g.idleMu.Unlock()
+	for c, since := range g.idleSince {
+		if now.Sub(since) > timeout {
+			g.idleSince[c] = time.Time{}
+			_ = c.SetReadDeadline(g.now()) // If this fails, the connection is closed.
+		}
+	}
+}
+
 // setBudgets divides the retry budgets among the live entries.
 func (g *Gate) setBudgets() {
 	s := g.Settings()
