savoryconn: encode the head of a request without copying the body

The head was encoded together with the body and the body cut off again. This ran between the connect and the write, while the deadline of the request ran: with a body of 32 MB 0.2 to 0.4 s with the race detector, 0.2 to 0.6 s beside 16 busy processes (5 trials each, 8 processors).

The body now fails at its first read, when the whole head is written.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -415,13 +415,25 @@
 // encodeHead returns the encoded head of a request, without the body.
 func encodeHead(req *http.Request, body []byte) ([]byte, error) {
 	var buf bytes.Buffer
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	} else {
+	if len(body) == 0 {
 		req.Body = http.NoBody
+		err := req.Write(&buf)
+		return buf.Bytes(), err
 	}
-	if err := req.Write(&buf); err != nil {
+	unread := new(unreadBody)
+	req.Body = unread
+	if err := req.Write(&buf); !unread.reached {
 		return nil, err
 	}
-	return buf.Bytes()[:buf.Len()-len(body)], nil
+	return buf.Bytes(), nil
 }
+
+// unreadBody is a body that fails when it is read, so that only the head is written.
+type unreadBody struct{ reached bool }
+
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.reached = true
+	return 0, io.ErrUnexpectedEOF
+}
+
+func (b *unreadBody) Close() error { return nil }
