savorygate: count no refusal for a server that has ended

Callers got 503 "all servers are busy" while a sound server was free: a connection that is refused because nobody listens counted as one of the four refusals after which a request is given up. When many servers of a service end at once, their registrations stay listed for a while.

Evidence: ten ended servers in the list and one sound.

Only servers that are alive and refuse now count. A refused connection takes no time and each server is tried once, so the loop stays bounded. Connections that time out still count, since each takes 300 ms.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -67,11 +67,12 @@
 			return
 		}
 		tried[choice.server.ID] = true
-		if res.verdict == savoryverdict.NotRun {
-			refusals++
-		} else {
+		switch {
+		case res.verdict != savoryverdict.NotRun:
 			c.mayHaveRun = true
 			runs++
+		case !serverGone(res.err):
+			refusals++
 		}
 		if c.callerLeft() || !c.shouldRetry(res, runs, refusals) {
 			c.finishPlain(res, refusals > 0)
