--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -128,9 +128,11 @@
 	body      io.ReadCloser
 	stop      func() bool
 	writeDone chan error
-	mu        sync.Mutex
-	complete  bool
-	closed    bool
+	// unackedUnbounded is set if unackedTimeout is not in force.
+	unackedUnbounded bool
+	mu               sync.Mutex
+	complete         bool
+	closed           bool
 }
 
 // Error is a failed request.
@@ -200,6 +202,9 @@
 		a.writeDone <- err
 		return
 	}
+	// The kernel counts the unacknowledged time also while a working server reads
+	// nothing and its receive buffer is full.
+	a.unackedUnbounded = a.conn.setUnackedTimeout(0) == nil
 	go func() {
 		buffers := net.Buffers{head, body}
 		_, err := buffers.WriteTo(a.conn.Conn)
@@ -277,6 +282,9 @@
 		// The request's body is still being written.
 		usable = false
 	}
+	if usable && a.unackedUnbounded {
+		usable = a.conn.setUnackedTimeout(unackedTimeout) == nil
+	}
 	if !usable {
 		return a.conn.Close()
 	}
@@ -346,11 +354,7 @@
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepaliveInterval, Interval: keepaliveInterval, Count: maxLostProbes},
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockErr error
-			err := raw.Control(func(fd uintptr) {
-				sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			return errors.Join(err, sockErr)
+			return setUnackedTimeout(raw, unackedTimeout)
 		},
 	}
 }
@@ -359,6 +363,28 @@
 	return Dialer().DialContext(ctx, "tcp", address.String())
 }
 
+// setUnackedTimeout bounds the time for which sent bytes may stay unacknowledged; 0
+// leaves it to the kernel.
+func (c *conn) setUnackedTimeout(d time.Duration) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout(raw, d)
+}
+
+func setUnackedTimeout(raw syscall.RawConn, d time.Duration) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	return errors.Join(err, sockErr)
+}
+
 // isReusable reports whether an idle connection is open and has no bytes to
 // read. A connection that the server has closed, or on which it has sent bytes
 // that belong to no request, must not be used.
@@ -399,13 +425,25 @@
 // encodeHead returns the encoded head of a request, without the body.
 func encodeHead(req *http.Request, body []byte) ([]byte, error) {
 	var buf bytes.Buffer
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	} else {
+	if len(body) == 0 {
 		req.Body = http.NoBody
+		err := req.Write(&buf)
+		return buf.Bytes(), err
 	}
-	if err := req.Write(&buf); err != nil {
+	unread := new(unreadBody)
+	req.Body = unread
+	if err := req.Write(&buf); !unread.reached {
 		return nil, err
 	}
-	return buf.Bytes()[:buf.Len()-len(body)], nil
+	return buf.Bytes(), nil
 }
+
+// unreadBody is a body that fails when it is read, so that only the head is written.
+type unreadBody struct{ reached bool }
+
+func (b *unreadBody) Read([]byte) (int, error) {
+	b.reached = true
+	return 0, io.ErrUnexpectedEOF
+}
+
+func (b *unreadBody) Close() error { return nil }
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -60,17 +61,18 @@
 		c.logDecision(log.Fields{
 			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
 		}, "server chosen")
-		res := c.sendPlain(choice, runs+1 < c.route.Attempts)
+		res := c.sendPlain(choice, tried, runs+1 < c.route.Attempts)
 		if res.response != nil && res.err == nil && res.verdict == savoryverdict.Ran {
 			c.writeResponse(res)
 			return
 		}
 		tried[choice.server.ID] = true
-		if res.verdict == savoryverdict.NotRun {
-			refusals++
-		} else {
+		switch {
+		case res.verdict != savoryverdict.NotRun:
 			c.mayHaveRun = true
 			runs++
+		case !serverGone(res.err):
+			refusals++
 		}
 		if c.callerLeft() || !c.shouldRetry(res, runs, refusals) {
 			c.finishPlain(res, refusals > 0)
@@ -99,7 +101,8 @@
 		// The request has not arrived anywhere, so the next send repeats nothing.
 		return true
 	}
-	if !c.g.allowRetry(c.service.Name) {
+	// The end of a slow attempt has already taken the retry.
+	if !errors.Is(res.err, errAttemptTimeout) && !c.g.allowRetry(c.service.Name) {
 		c.log.WithField("reason", "retry budget used up").Info("request not sent again")
 		return false
 	}
@@ -143,16 +146,28 @@
 }
 
 // sendPlain sends the request to one server and reads the beginning of its
-// response. If canRetry is set and the route is repeatable, the attempt ends
-// after attemptFraction of the remaining time.
-func (c *call) sendPlain(choice serverChoice, canRetry bool) plainResult {
+// response. If canRetry is set and the route is repeatable, the attempt ends if
+// this takes longer than attemptFraction of the remaining time, another server is
+// available that is not in tried, and the budget allows a retry.
+func (c *call) sendPlain(choice serverChoice, tried map[string]bool, canRetry bool) plainResult {
 	id := choice.server.ID
 	defer c.g.view.endServerRequest(id)
 	ctx, cancel := c.context()
+	var timer attemptTimer
 	if canRetry && c.route.Repeatable() {
+		outer := cancel
+		inner, cancelAttempt := context.WithCancelCause(ctx)
+		ctx, cancel = inner, func() { cancelAttempt(nil); outer() }
 		remaining := c.deadline.Sub(c.g.now())
-		ctx, cancel = withOuterCancel(cancel)(context.WithTimeoutCause(ctx, time.Duration(attemptFraction*float64(remaining)), errAttemptTimeout))
+		timer.start(time.Duration(attemptFraction*float64(remaining)), func() bool {
+			if !c.g.view.hasOtherServer(c.service.Name, id, tried, c.g.now()) || !c.g.allowRetry(c.service.Name) {
+				return false
+			}
+			cancelAttempt(errAttemptTimeout)
+			return true
+		})
 	}
+	defer timer.stop()
 	req := c.newServerRequest(Forward{Server: id, LastEventID: c.caller.LastEventID})
 	c.sends++
 	c.g.recordSend(c.service.Name, c.sends)
@@ -177,6 +192,9 @@
 		res.verdict = savoryverdict.NotRun
 		return res
 	}
+	if !timer.stop() && (err != nil || !res.complete) {
+		err = errAttemptTimeout
+	}
 	if err != nil {
 		cancel()
 		_ = response.Close()
@@ -220,12 +238,41 @@
 
 func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
 
-// withOuterCancel returns a function that makes the cancel function of a
-// derived context cancel the outer context as well.
-func withOuterCancel(outer context.CancelFunc) func(context.Context, context.CancelFunc) (context.Context, context.CancelFunc) {
-	return func(ctx context.Context, inner context.CancelFunc) (context.Context, context.CancelFunc) {
-		return ctx, func() { inner(); outer() }
+// attemptTimer ends an attempt whose server is too slow. The zero value is a
+// timer that is not started.
+type attemptTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	fired   bool
+}
+
+// start calls end after d, and again at each pollInterval until it reports that
+// the attempt has ended or the timer is stopped.
+func (t *attemptTimer) start(d time.Duration, end func() bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timer = time.AfterFunc(d, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.stopped {
+			return
+		}
+		if t.fired = end(); !t.fired {
+			t.timer.Reset(pollInterval)
+		}
+	})
+}
+
+// stop stops the timer. It reports false if the timer has ended the attempt.
+func (t *attemptTimer) stop() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
 	}
+	t.stopped = true
+	return !t.fired
 }
 
 // cancelOnClose cancels the context of a response when the response is closed.
