savorynode: a begun answer waits for a retry or a chain

Callers saw begun streams end with "the pipeline failed; the answer is incomplete" or "no chain of backend servers is available" although they still waited and the engines went on shortly afterwards.

Cause: a begun answer was given up like a request that can still be refused: after six attempts, as soon as the retry budget (50, then two a second, shared with plain services) was used up, or at once when no chain was available. With stall timeouts of 300 ms a silence of all engines for 1.5 s uses up the budget.

Evidence, before the change:

--- FAIL: TestAnswersOutlastSilentEngines (1.64s) silence_test.go:40: 60 of 60 begun answers were cut off (each: answer is incomplete after 2 tokens, status 200: the pipeline failed; the answer is incomplete) --- FAIL: TestAnswerWaitsForChain (1.55s) silence_test.go:60: answer is incomplete after 2 tokens, status 200: no chain of backend servers is available silence_test.go:60: 1 of 1 begun answers were cut off

Now a begun answer depends on the budget only for a retry at once. Without one its stall timer leaves it on its chain for 0.5 to 1.5 s more, since a silent engine may go on; after a failure, or without a chain, it waits as long and tries again. Each answer thus sends at most about once a second, so that the load on a failing zone stays bounded. The answer ends after 30 s without a token; chains that break the protocol end it as before. Requests whose answer has not begun are refused as before.

--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -21,9 +23,18 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request, each of which runs on
-	// one chain.
+	// maxAttempts bounds the attempts of a request whose answer has not begun,
+	// and the attempts of a begun answer that follow one another at once. Each
+	// attempt runs on one chain.
 	maxAttempts = 6
+	// minRetryDelay and maxRetryDelay bound the random delay before a further
+	// attempt of a begun answer. Answers that stall together then do not
+	// start again together.
+	minRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 1500 * time.Millisecond
+	// maxAnswerSilence is the time without a token after which a begun answer
+	// ends. Callers state no deadline.
+	maxAnswerSilence = 30 * time.Second
 	// stallFactor is the number of between-token times without a token after
 	// which a chain is considered stalled.
 	stallFactor = 5
@@ -47,6 +58,9 @@
 // errStalled means that a chain made no progress within the stall timeout.
 var errStalled = errors.New("the chain made no progress before the stall timeout")
 
+// errInvalidToken means that a chain broke the protocol.
+var errInvalidToken = errors.New("invalid token from the chain")
+
 // errCallerLeft means that writing to the caller failed.
 var errCallerLeft = errors.New("the caller left")
 
@@ -177,27 +191,65 @@
 func (p *pipelineRunner) generate(ctx context.Context, g *generation) error {
 	for attempt := 1; ; attempt++ {
 		choice, err := p.choose(g, attempt)
-		if err != nil {
+		if err != nil && !g.begun() {
 			return p.failureError(g, err)
 		}
-		err = p.runAttempt(ctx, g, choice)
 		if err == nil {
-			return nil
-		}
-		if errors.Is(err, errCallerLeft) || callerLeft(ctx) {
-			return &savoryverdict.Error{
-				Verdict: savoryverdict.MayHaveRun, Status: http.StatusBadRequest, Code: "CallerLeft",
-				Message: "the caller left before the answer was complete", Err: err,
+			err = p.runAttempt(ctx, g, choice, attempt)
+			if err == nil {
+				return nil
 			}
+			if errors.Is(err, errCallerLeft) || callerLeft(ctx) {
+				return callerLeftError(err)
+			}
+			p.recordFailure(g, choice, err)
 		}
-		p.recordFailure(g, choice, err)
-		if attempt == maxAttempts || !p.callers.tables.allowRetry(p.callers.now()) {
+		if !p.awaitRetry(ctx, g, attempt, err) {
+			if callerLeft(ctx) {
+				return callerLeftError(err)
+			}
 			return p.failureError(g, err)
 		}
 		p.callers.metrics.retries.WithLabelValues("pipeline").Inc()
 	}
 }
 
+func callerLeftError(err error) error {
+	return &savoryverdict.Error{
+		Verdict: savoryverdict.MayHaveRun, Status: http.StatusBadRequest, Code: "CallerLeft",
+		Message: "the caller left before the answer was complete", Err: err,
+	}
+}
+
+// awaitRetry reports whether the request gets another attempt after err, and
+// waits until it may begin. A begun answer cannot be refused any more, so it
+// does not depend on the retry budget: if the budget is used up or there is
+// no chain, it waits.
+func (p *pipelineRunner) awaitRetry(ctx context.Context, g *generation, attempt int, err error) bool {
+	if !g.begun() || errors.Is(err, errInvalidToken) {
+		return p.retryNow(attempt)
+	}
+	if p.callers.now().Sub(g.lastTokenAt) > maxAnswerSilence {
+		return false
+	}
+	// The stall timer of a begun answer has taken a retry or has waited.
+	if errors.Is(err, errStalled) {
+		return true
+	}
+	if !errors.Is(err, savorychain.ErrNoChain) && p.retryNow(attempt) {
+		return true
+	}
+	return sleepContext(ctx, retryDelay())
+}
+
+// retryNow reports whether a request may be sent again at once. It takes a
+// retry from the budget.
+func (p *pipelineRunner) retryNow(attempt int) bool {
+	return attempt < maxAttempts && p.callers.tables.allowRetry(p.callers.now())
+}
+
+func retryDelay() time.Duration { return minRetryDelay + rand.N(maxRetryDelay-minRetryDelay) }
+
 // choose selects the chain for the next attempt.
 func (p *pipelineRunner) choose(g *generation, attempt int) (savorychain.Choice, error) {
 	now := p.callers.now()
@@ -228,7 +280,7 @@
 
 // runAttempt runs one attempt on a chain. It returns nil if the answer is
 // complete.
-func (p *pipelineRunner) runAttempt(ctx context.Context, g *generation, choice savorychain.Choice) error {
+func (p *pipelineRunner) runAttempt(ctx context.Context, g *generation, choice savorychain.Choice, attempt int) error {
 	tokens := g.c.promptTokens + len(g.sequence.Emitted())
 	flight := p.callers.tables.recordSent(choice, tokens, p.callers.now())
 	if flight == nil {
@@ -246,7 +298,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := newStallTimer(p.firstTokenTimeout(g, choice), func() { cancel(errStalled) })
+	stall := &stallTimer{
+		begun: g.begun(), retryNow: func() bool { return p.retryNow(attempt) }, stalled: func() { cancel(errStalled) },
+	}
+	stall.start(p.firstTokenTimeout(g, choice))
 	defer stall.stop()
 	var rejected error
 	err := p.engines.Run(ctx, run, func(e savoryengine.Event) bool {
@@ -280,7 +335,7 @@
 	case savorystream.Reject:
 		p.callers.metrics.tokens.WithLabelValues("rejected").Inc()
 		g.log.WithError(err).Error("token rejected")
-		return fmt.Errorf("invalid token from the chain: %w", err)
+		return fmt.Errorf("%w: %w", errInvalidToken, err)
 	default:
 	}
 	g.admission.recordToken()
@@ -419,6 +474,9 @@
 	return min(bound, minStallTimeout+firstStallFactor*choice.FirstToken)
 }
 
+// begun reports whether a token of the answer was received.
+func (g *generation) begun() bool { return len(g.sequence.Emitted()) > 0 }
+
 // priority returns the priority at the engines: the priority of the contract,
 // less one while the customer exceeds its fair share.
 func (g *generation) priority() int {
@@ -451,13 +509,48 @@
 	return append(names, name)
 }
 
-// stallTimer calls a function if it is not reset in time.
-type stallTimer struct{ timer *time.Timer }
+// stallTimer calls stalled if it is not reset in time. An answer that has
+// begun stays on its chain for a while if it may not be sent again at once: a
+// silent engine may go on.
+type stallTimer struct {
+	begun    bool
+	retryNow func() bool
+	stalled  func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// extended means that the chain got more time since its last token.
+	extended bool
+}
+
+func (s *stallTimer) start(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(d, s.expire)
+}
 
-func newStallTimer(d time.Duration, stalled func()) *stallTimer {
-	return &stallTimer{timer: time.AfterFunc(d, stalled)}
+// reset starts the time anew after a token.
+func (s *stallTimer) reset(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.begun, s.extended = true, false
+	s.timer.Reset(d)
 }
 
-func (s *stallTimer) reset(d time.Duration) { s.timer.Reset(d) }
+func (s *stallTimer) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.begun && !s.extended && !s.retryNow() {
+		s.extended = true
+		s.timer.Reset(retryDelay())
+		return
+	}
+	s.stalled()
+}
 
-func (s *stallTimer) stop() { s.timer.Stop() }
+func (s *stallTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer.Stop()
+	s.begun = false
+}
--- a/savorystand/savorysite/client.go
+++ b/savorystand/savorysite/client.go
@@ -24,6 +24,8 @@
 	Key string
 	// Client sends the requests; nil means http.DefaultClient.
 	Client *http.Client
+	// OnText, if set, is called for each piece of text of a completion.
+	OnText func(text string)
 }
 
 // Response is the response to a request to a plain service.
@@ -100,7 +102,7 @@
 		g.ErrorMessage = string(text)
 		return g, err
 	}
-	return g, g.read(resp.Body, start)
+	return g, g.read(resp.Body, start, c.OnText)
 }
 
 // streamEvent is one event of a streamed completion.
@@ -113,7 +115,7 @@
 	} `json:"error"`
 }
 
-func (g *Completion) read(body io.Reader, start time.Time) error {
+func (g *Completion) read(body io.Reader, start time.Time, onText func(string)) error {
 	last := start
 	scanner := bufio.NewScanner(body)
 	for scanner.Scan() {
@@ -142,6 +144,9 @@
 		last = now
 		for _, choice := range event.Choices {
 			g.Text = append(g.Text, choice.Text)
+			if onText != nil {
+				onText(choice.Text)
+			}
 		}
 	}
 	if err := scanner.Err(); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
