savorynode: a slow caller is no stalled chain

Callers on a full link saw an answer that had all its tokens end with an error and a closed connection instead of its end marker.

Cause: the stall timer of the chain ran while a token was written to the caller. If that write took longer than the timer (300 ms at least), the attempt was canceled, its sound engines were doubted and a retry was taken from the budget. If it was the last token, the answer was finished and no further attempt could add the end marker.

Evidence, caller's link paused for 1.5 s at the last token:

--- FAIL: TestSlowCallerGetsCompleteAnswer (1.89s) on silence_test.go:93: err: WRONG end: complete=false with 20 of 20 tokens --- FAIL: TestSlowCallerGetsCompleteAnswer (30.01s) on silence_test.go:93: err: context deadline exceeded

The timer now stands still while a token is checked and written, and starts anew afterwards.

--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -306,8 +306,10 @@
 	var rejected error
 	err := p.engines.Run(ctx, run, func(e savoryengine.Event) bool {
 		p.callers.tables.chains.with(func(t *savorychain.Table) { t.RecordPromptDone(flight) })
-		stall.reset(p.stallTimeout(g, choice))
+		// A caller that reads slowly is no sign of a stalled chain.
+		stall.stop()
 		rejected = p.receiveToken(g, e.Token)
+		stall.reset(p.stallTimeout(g, choice))
 		return rejected == nil
 	})
 	switch {
@@ -521,6 +523,7 @@
 	timer *time.Timer
 	// extended means that the chain got more time since its last token.
 	extended bool
+	stopped  bool
 }
 
 func (s *stallTimer) start(d time.Duration) {
@@ -533,13 +536,16 @@
 func (s *stallTimer) reset(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.begun, s.extended = true, false
+	s.begun, s.extended, s.stopped = true, false, false
 	s.timer.Reset(d)
 }
 
 func (s *stallTimer) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
 	if s.begun && !s.extended && !s.retryNow() {
 		s.extended = true
 		s.timer.Reset(retryDelay())
@@ -552,5 +558,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer.Stop()
-	s.begun = false
+	s.stopped = true
 }
--- a/savorystand/silence_test.go
+++ b/savorystand/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savorystand/savorymodel"
 	"savorycart.example/savorystand/savorysite"
 )
@@ -60,6 +62,61 @@
 	finish()
 }
 
+// Guards against answers that end without their end marker because their caller's
+// link is full while they are sent: the chain must not be taken for stalled.
+func TestSlowCallerGetsCompleteAnswer(t *testing.T) {
+	is := is.New(t)
+	link := new(pausedLink)
+	site := &savorysite.Site{
+		Entries: 1, EnginesPerStage: 1, ServiceServers: 1, Log: savorylog.Discard(),
+		WrapCallers: func(l net.Listener) net.Listener {
+			link.Listener = l
+			return link
+		},
+	}
+	defer site.Stop()
+	is.NoErr(site.Start())
+	setEngineFaults(site, savorymodel.Faults{Delay: slowStep})
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	const tokens = 20
+	received := 0
+	caller := &savorysite.Caller{
+		Entry: site.Nodes[0].Callers, Key: savorysite.CustomerKey("musina-guards"),
+		OnText: func(string) {
+			received++
+			if received == tokens-1 {
+				link.until.Store(time.Now().Add(silentTime))
+			}
+		},
+	}
+	is.NoErr(generateAndCheck(ctx, caller, savorysite.ModelVersion, "prompt", tokens))
+}
+
+// pausedLink is a listener whose connections send nothing before a time.
+type pausedLink struct {
+	net.Listener
+	until savoryworld.AtomicTime
+}
+
+func (l *pausedLink) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{Conn: conn, link: l}, nil
+}
+
+type pausedConn struct {
+	net.Conn
+	link *pausedLink
+}
+
+func (c *pausedConn) Write(p []byte) (int, error) {
+	time.Sleep(time.Until(c.link.until.Load()))
+	return c.Conn.Write(p)
+}
+
 // beginAnswers starts n streamed completions and waits until all have begun. The
 // returned function waits for them and requires that each is complete.
 func beginAnswers(t *testing.T, site *savorysite.Site, n int) (finish func()) {
