savorynode: a silent service keeps its request without a retry

Callers of idempotent routes got 502 "did not respond" after a third of their route's timeout, although the server was only silent and went on within the timeout.

Cause: an attempt without a response header was canceled after a third of the timeout, whether or not another attempt was allowed. When many requests wait at once, the retry budget is used up, so the request was canceled and then not sent again.

The retry is now taken before the attempt is canceled; without one, and in the last attempt, the request waits until the route's timeout.

--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -38,6 +38,10 @@
 	copyBufferBytes = 32 << 10
 )
 
+// errHeaderLate means that an attempt was given up for another one because it
+// did not receive the response header in its part of the route timeout.
+var errHeaderLate = errors.New("no response header in the time of one attempt")
+
 // serviceRunner serves requests to plain services on the servers that
 // savorychain.Table.ChooseService selects.
 type serviceRunner struct {
@@ -212,12 +216,12 @@
 }
 
 // mayRepeat reports whether a failed request may be sent to another server.
-// It takes a retry from the budget.
+// It takes a retry from the budget, unless the attempt has taken it.
 func (s *serviceRunner) mayRepeat(sc *serviceCall, err error) bool {
 	if savoryverdict.Of(err) != savoryverdict.NotRun && !sc.route.Idempotent {
 		return false
 	}
-	return s.callers.tables.allowRetry(s.callers.now())
+	return errors.Is(err, errHeaderLate) || s.callers.tables.allowRetry(s.callers.now())
 }
 
 // choose selects a server and counts the request as sent to it.
@@ -248,13 +252,15 @@
 
 // sendTo sends the request to one server. Only the first attempt of an
 // idempotent request uses a reused connection, because such a connection may
-// have failed unnoticed. Each attempt of an idempotent request must receive
-// the response header within 1/maxServiceAttempts of the route timeout.
+// have failed unnoticed. An attempt of an idempotent request that has not
+// received the response header within 1/maxServiceAttempts of the route timeout
+// is given up if another one is allowed. The last one may take the whole
+// timeout: a silent server may go on.
 func (s *serviceRunner) sendTo(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer, try int) (*serviceResponse, error) {
 	caller := ctx
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	finished := func() {
-		cancel()
+		cancel(nil)
 		s.callers.tables.chains.with(func(t *savorychain.Table) { t.RecordServiceFinished(server.Name) })
 	}
 	req, err := s.request(ctx, sc, server)
@@ -264,7 +270,11 @@
 	}
 	transport := s.fresh
 	if sc.route.Idempotent {
-		headerTimer := time.AfterFunc(routeTimeout(sc.route)/maxServiceAttempts, cancel)
+		headerTimer := time.AfterFunc(routeTimeout(sc.route)/maxServiceAttempts, func() {
+			if try < maxServiceAttempts && s.callers.tables.allowRetry(s.callers.now()) {
+				cancel(errHeaderLate)
+			}
+		})
 		defer headerTimer.Stop()
 		if try == 1 {
 			transport = s.pooled
@@ -272,6 +282,9 @@
 	}
 	resp, err := transport.RoundTrip(req) //nolint:bodyclose // closed by serviceAnswer.close
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errHeaderLate) {
+			err = errHeaderLate
+		}
 		finished()
 		s.recordServerFailure(caller, server.Name)
 		return nil, &savoryverdict.Error{
--- a/savorystand/silence_test.go
+++ b/savorystand/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,9 +12,11 @@
 
 	"github.com/matryer/is"
 
+	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorylog"
 	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savorystand/savorymodel"
+	"savorycart.example/savorystand/savoryservice"
 	"savorycart.example/savorystand/savorysite"
 )
 
@@ -93,6 +96,46 @@
 	is.NoErr(generateAndCheck(ctx, caller, savorysite.ModelVersion, "prompt", tokens))
 }
 
+// Guards against requests of an idempotent route that are given up before their
+// route's timeout because the retry budget is used up, while the silent server
+// goes on.
+func TestRequestsOutlastSilentService(t *testing.T) {
+	const (
+		timeout  = 4500 * time.Millisecond
+		requests = 90
+	)
+	is := is.New(t)
+	site := &savorysite.Site{
+		Entries: 1, EnginesPerStage: 1, ServiceServers: 2, Log: savorylog.Discard(),
+		EditDocument: func(doc *savoryconfig.Document) { doc.Routes[0].Timeout = savoryworld.Duration(timeout) },
+	}
+	defer site.Stop()
+	is.NoErr(site.Start())
+	for _, s := range site.DispatchServers {
+		s.SetFaults(savoryservice.Faults{Delay: timeout / 2})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTimeout)
+	defer cancel()
+	caller := &savorysite.Caller{Entry: site.Nodes[0].Callers, Key: savorysite.CustomerKey("musina-guards")}
+	var answers sync.WaitGroup
+	var refused atomic.Int64
+	for range requests {
+		answers.Go(func() {
+			response, err := caller.Send(ctx, http.MethodGet, "/rosters/tonight", "", "")
+			if err != nil || response.Status != http.StatusOK {
+				refused.Add(1)
+				t.Log(response.Status, response.Body, err)
+			}
+		})
+	}
+	time.Sleep(timeout / 4)
+	for _, s := range site.DispatchServers {
+		s.SetFaults(savoryservice.Faults{})
+	}
+	answers.Wait()
+	is.Equal(refused.Load(), int64(0))
+}
+
 // pausedLink is a listener whose connections send nothing before a time.
 type pausedLink struct {
 	net.Listener
