savorynode: transfers of the configuration go on after a failed call

A large change never arrived at an entry on a slow link, and the link stayed full of copies of it.

Cause: an entry got all new buckets of a step in one response, which had to arrive within a second (peerTimeout); for an offered revision and at the called side of a heartbeat, all calls together had one second. If one call failed, everything that had been received was thrown away, and the next heartbeat began again. A poll, a watch and a peer fetched the same buckets at the same time.

Now a response holds at most 64 kB of buckets (or one bucket); steps that are larger are replaced by the root, from which the receiver fetches the buckets that it lacks in such calls. Received buckets are kept until a revision is in force, and a bucket is fetched by one transfer at a time. Only calls have a timeout; a transfer ends with the entry.

--- a/savoryentry/savorynode/config.go
+++ b/savoryentry/savorynode/config.go
@@ -3,6 +3,7 @@
 // This file defines configKeeper, which holds the configuration in force.
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -12,6 +13,8 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savorystore"
 )
 
 // configKeeper holds the snapshot in force. Revisions only increase: a root
@@ -27,6 +30,14 @@
 
 	mu      sync.Mutex
 	buckets map[savoryconfig.BucketID]savoryconfig.Bucket
+	// received holds fetched buckets that are not in force yet, so that a
+	// transfer that was interrupted goes on where it ended.
+	received      map[savoryconfig.BucketID]savoryconfig.Bucket
+	receivedBytes int
+	// fetching holds the buckets that are being fetched. fetched is closed and
+	// replaced after each fetch.
+	fetching map[savoryconfig.BucketID]bool
+	fetched  chan struct{}
 	// steps holds the last steps up to the root in force, oldest first.
 	steps []savoryconfig.Step
 }
@@ -35,7 +46,16 @@
 // revision.
 const maxSteps = 8
 
-// bucketFetcher returns buckets by ID. The result may lack some of them.
+const (
+	// maxFetchBuckets bounds the buckets of one fetch.
+	maxFetchBuckets = min(savorypeer.MaxBuckets, savorystore.MaxTxnOps)
+	// maxReceivedBytes bounds the buckets that are kept for interrupted
+	// transfers.
+	maxReceivedBytes = 16 << 20
+)
+
+// bucketFetcher returns up to maxFetchBuckets buckets by ID. The result may
+// lack some of them.
 type bucketFetcher func([]savoryconfig.BucketID) ([]savoryconfig.Bucket, error)
 
 // snapshot returns the snapshot in force, or nil if there is none yet.
@@ -80,6 +100,7 @@
 	}
 	old := k.revision()
 	k.buckets = buckets
+	k.received, k.receivedBytes = nil, 0
 	if before := k.snapshot(); before != nil {
 		k.appendStep(before.Root, snapshot.Root)
 	}
@@ -135,36 +156,100 @@
 	return nil
 }
 
-// addMissing adds the buckets of ids that found lacks, from the held buckets
-// or by fetch.
+// addMissing adds the buckets of ids that found lacks, from the held and the
+// received buckets or by fetch. A bucket that another call fetches is not
+// fetched again unless that call fails.
 func (k *configKeeper) addMissing(found map[savoryconfig.BucketID]savoryconfig.Bucket, ids []savoryconfig.BucketID, fetch bucketFetcher) error {
-	var missing []savoryconfig.BucketID
+	lacking := make(map[savoryconfig.BucketID]bool)
+	for {
+		missing, elsewhere := k.takeMissing(found, ids, lacking)
+		if len(missing) == 0 && elsewhere == nil {
+			return nil
+		}
+		if len(missing) == 0 {
+			<-elsewhere
+			continue
+		}
+		fetched, err := fetch(missing)
+		got, checked := k.receive(missing, fetched)
+		if err = errors.Join(err, checked); err != nil {
+			return fmt.Errorf("fetch %d buckets: %w", len(missing), err)
+		}
+		if got == 0 {
+			// A response may leave out buckets because of its size, but not all.
+			for _, id := range missing {
+				lacking[id] = true
+			}
+		}
+	}
+}
+
+// takeMissing adds to found the buckets of ids that are present here. It
+// returns some of the others to fetch, for which a call of receive must
+// follow. If all others are being fetched elsewhere, it returns a channel that
+// is closed after the next fetch.
+func (k *configKeeper) takeMissing(found map[savoryconfig.BucketID]savoryconfig.Bucket, ids []savoryconfig.BucketID, lacking map[savoryconfig.BucketID]bool) (missing []savoryconfig.BucketID, elsewhere <-chan struct{}) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fetched == nil {
+		k.fetching = make(map[savoryconfig.BucketID]bool)
+		k.fetched = make(chan struct{})
+	}
 	for _, id := range ids {
-		if _, ok := found[id]; ok {
+		if _, ok := found[id]; ok || lacking[id] {
 			continue
 		}
-		if b, held := k.buckets[id]; held {
+		if b, ok := k.heldOrReceived(id); ok {
 			found[id] = b
 			continue
 		}
-		missing = append(missing, id)
+		if k.fetching[id] {
+			elsewhere = k.fetched
+			continue
+		}
+		if len(missing) < maxFetchBuckets {
+			k.fetching[id] = true
+			missing = append(missing, id)
+		}
 	}
-	k.mu.Unlock()
-	if len(missing) == 0 {
-		return nil
+	return missing, elsewhere
+}
+
+// heldOrReceived returns a bucket that is in force or was received. The caller
+// holds the lock.
+func (k *configKeeper) heldOrReceived(id savoryconfig.BucketID) (savoryconfig.Bucket, bool) {
+	if b, ok := k.buckets[id]; ok {
+		return b, true
 	}
-	fetched, err := fetch(missing)
-	if err != nil {
-		return fmt.Errorf("fetch %d buckets: %w", len(missing), err)
+	b, ok := k.received[id]
+	return b, ok
+}
+
+// receive keeps the buckets of a fetch of ids and returns their number, and
+// the error of the first invalid one.
+func (k *configKeeper) receive(ids []savoryconfig.BucketID, fetched []savoryconfig.Bucket) (got int, invalid error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.received == nil || k.receivedBytes > maxReceivedBytes {
+		k.received, k.receivedBytes = make(map[savoryconfig.BucketID]savoryconfig.Bucket), 0
 	}
 	for _, b := range fetched {
 		if err := b.Check(); err != nil {
-			return err
+			invalid = err
+			continue
+		}
+		if slices.Contains(ids, b.ID) {
+			k.received[b.ID] = b
+			k.receivedBytes += len(b.Body)
+			got++
 		}
-		found[b.ID] = b
 	}
-	return nil
+	for _, id := range ids {
+		delete(k.fetching, id)
+	}
+	close(k.fetched)
+	k.fetched = make(chan struct{})
+	return got, invalid
 }
 
 // stepsSince returns the steps from the given revision to the one in force,
--- a/savoryentry/savorynode/gossip.go
+++ b/savoryentry/savorynode/gossip.go
@@ -39,6 +39,10 @@
 	// isolationTimeout is the time without contact with the store or a peer
 	// after which the entry is not ready, because it receives no changes.
 	isolationTimeout = 5 * time.Second
+	// maxStateBytes bounds the content of buckets in a response to a peer, so
+	// that a link of 0.5 Mbit/s carries it within peerTimeout. A response has
+	// at least one bucket.
+	maxStateBytes = 64 << 10
 	// markPrefix is the prefix of the store keys of operators' leaving marks.
 	markPrefix = watchedPrefix + "leaving/"
 )
@@ -61,6 +65,8 @@
 	configHome bool
 	draining   *atomic.Bool
 	pool       *workerPool
+	// untilStop returns a context that ends when the entry stops.
+	untilStop func() context.Context
 
 	// fetchMu is held while the configuration is fetched from a peer.
 	fetchMu sync.Mutex
@@ -224,21 +230,14 @@
 	return changed || fresh, err
 }
 
-// peerFetcher returns a fetcher that reads buckets from a peer, at most
-// savorypeer.MaxBuckets in one call.
+// peerFetcher returns a fetcher that reads buckets from a peer.
 func (s *gossiper) peerFetcher(ctx context.Context, from netip.AddrPort) bucketFetcher {
 	return func(ids []savoryconfig.BucketID) ([]savoryconfig.Bucket, error) {
-		var buckets []savoryconfig.Bucket
-		for len(ids) > 0 {
-			n := min(len(ids), savorypeer.MaxBuckets)
-			state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Buckets: ids[:n]})
-			if err != nil {
-				return nil, err
-			}
-			buckets = append(buckets, state.Buckets...)
-			ids = ids[n:]
+		state, err := s.peers.Fetch(ctx, from, &savorypeer.Fetch{Buckets: ids})
+		if err != nil {
+			return nil, err
 		}
-		return buckets, nil
+		return state.Buckets, nil
 	}
 }
 
@@ -309,11 +308,8 @@
 	// it may always be the same one that calls.
 	_, digest := s.tables.allMarks(s.now())
 	if received.Revision > s.keeper.revision() || received.MarkDigest != digest {
-		s.pool.submit(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), s.peers.Timeout)
-			defer cancel()
-			s.fetchNewer(ctx, received)
-		})
+		// Only the calls of a transfer have a timeout.
+		s.pool.submit(func() { s.fetchNewer(s.untilStop(), received) })
 	}
 	return s.ownHeartbeat(s.now()), nil
 }
@@ -321,11 +317,7 @@
 func (s *gossiper) handleOffer(ctx context.Context, offer *savorypeer.Offer) (*savorypeer.Ack, error) {
 	s.receiveMarks(ctx, offer.Marks)
 	if offer.Revision > s.keeper.revision() {
-		s.pool.submit(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), s.peers.Timeout)
-			defer cancel()
-			s.fetchConfig(ctx, offer.Revision, offer.From)
-		})
+		s.pool.submit(func() { s.fetchConfig(s.untilStop(), offer.Revision, offer.From) })
 	}
 	_, digest := s.tables.allMarks(s.now())
 	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest}, nil
@@ -341,18 +333,31 @@
 	if fetch.Marks {
 		state.Marks, _ = s.tables.allMarks(s.now())
 	}
-	state.Buckets = s.keeper.heldBuckets(fetch.Buckets)
+	state.Buckets = limitBytes(s.keeper.heldBuckets(fetch.Buckets), maxStateBytes)
 	return state, nil
 }
 
+// limitBytes returns the first buckets up to the given size, but at least one.
+func limitBytes(buckets []savoryconfig.Bucket, limit int) []savoryconfig.Bucket {
+	size := 0
+	for i, b := range buckets {
+		size += len(b.Body)
+		if i > 0 && size > limit {
+			return buckets[:i]
+		}
+	}
+	return buckets
+}
+
 // addConfig adds to state the steps from revision since to the one in force,
-// or the whole root if the steps are no longer kept.
+// or the whole root if the steps are too large or no longer kept. The peer
+// fetches the buckets that it lacks for a root in calls of limited size.
 func (s *gossiper) addConfig(state *savorypeer.State, since uint64) error {
 	snapshot := s.keeper.snapshot()
 	if snapshot == nil || snapshot.Revision() <= since {
 		return nil
 	}
-	if steps, ok := s.keeper.stepsSince(since); ok {
+	if steps, ok := s.keeper.stepsSince(since); ok && stepBytes(steps) <= maxStateBytes {
 		state.Steps = steps
 		return nil
 	}
@@ -363,3 +368,14 @@
 	state.Root = body
 	return nil
 }
+
+// stepBytes returns the size of the content of the buckets of steps.
+func stepBytes(steps []savoryconfig.Step) int {
+	size := 0
+	for _, step := range steps {
+		for _, b := range step.Buckets {
+			size += len(b.Body)
+		}
+	}
+	return size
+}
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -332,6 +332,7 @@
 		entryVMs:  n.listClient(savoryvmlist.Filter{Role: savoryvmlist.RoleEntry}),
 		workerVMs: n.listClient(savoryvmlist.Filter{Role: savoryvmlist.RoleWorker, Zone: n.Settings.Zone}),
 		peers:     client, metrics: n.metrics, configHome: n.Settings.Platform.ConfigHome, draining: &n.draining, pool: n.pool,
+		untilStop: func() context.Context { return n.tomb.Context(context.Background()) },
 	}
 }
 
--- a/savorystand/savorysite/site.go
+++ b/savorystand/savorysite/site.go
@@ -46,7 +46,7 @@
 	pollInterval = 20 * time.Millisecond
 )
 
-// Site is a running site. The fields from Entries to WrapCallers and, optionally,
+// Site is a running site. The fields from Entries to WrapPeers and, optionally,
 // Platform are set before Start, which sets the other exported fields.
 type Site struct {
 	// Entries is the number of entries, which are spread over the zones.
@@ -61,8 +61,10 @@
 	EditSettings func(*savorynode.Settings)
 	// EditDocument, if not nil, changes the document before it is submitted.
 	EditDocument func(*savoryconfig.Document)
-	// WrapCallers, if not nil, wraps the listener for callers of each entry.
+	// WrapCallers and WrapPeers, if not nil, wrap the listeners for callers and
+	// for peers of each entry.
 	WrapCallers func(net.Listener) net.Listener
+	WrapPeers   func(net.Listener) net.Listener
 
 	Platform        *savoryplatform.Platform
 	Engines         []*savorymodel.Engine
@@ -194,6 +196,9 @@
 	if s.WrapCallers != nil {
 		listeners.Callers = s.WrapCallers(listeners.Callers)
 	}
+	if s.WrapPeers != nil {
+		listeners.Peers = s.WrapPeers(listeners.Peers)
+	}
 	freezable := newFreezableListener(listeners.Peers)
 	s.freezable = append(s.freezable, freezable)
 	listeners.Peers = &countingListener{Listener: freezable, bytes: &s.peerBytes}
