savorystore: a read that makes progress is not given up

On a slow or full link an entry never read a group of buckets from the store: the read was thrown away after a second (StoreTimeout) and the next poll began it again.

Cause: the timeout bounded the whole call with its response, whose size is up to 64 values.

Evidence, a response of 1.4 MB in eight parts, 75 ms apart, with a timeout of 300 ms:

--- FAIL: TestReadOverSlowLink (0.61s) store_test.go:43: err: store: range: context deadline exceeded (MayHaveRun)

The timeout of a read now bounds the time without progress, and five times the timeout the whole read, so that a service which stops or drips is still given up (TestReadWithoutProgressEnds). Other calls, which claims and leases depend on, keep their bound.

--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -38,6 +38,13 @@
 // maxResponseBytes bounds the response to one call.
 const maxResponseBytes = 64 << 20
 
+// maxReadTimeouts bounds a read whose response makes progress, as a multiple of
+// the timeout.
+const maxReadTimeouts = 5
+
+// opRange is the operation of reads.
+const opRange = "range"
+
 // ErrLeaseExpired is returned when the service has no record of a lease.
 var ErrLeaseExpired = errors.New("the lease has expired")
 
@@ -46,7 +53,8 @@
 type Store struct {
 	// Address is the address of the service.
 	Address netip.AddrPort
-	// Timeout bounds each call except Watch.
+	// Timeout bounds each call except Watch. For a read it bounds the time
+	// without progress, since a slow link may need longer for the values.
 	Timeout time.Duration
 	// OnCall, if set, is called after each call except Watch.
 	OnCall func(op string, err error)
@@ -128,7 +136,7 @@
 // Get reads one key.
 func (s *Store) Get(ctx context.Context, key string) (Value, error) {
 	var response RangeResponse
-	if err := s.call(ctx, "range", "/v3/kv/range", RangeRequest{Key: []byte(key)}, &response); err != nil {
+	if err := s.call(ctx, opRange, "/v3/kv/range", RangeRequest{Key: []byte(key)}, &response); err != nil {
 		return Value{}, err
 	}
 	return firstValue(key, response), nil
@@ -144,7 +152,7 @@
 			txn.Success = append(txn.Success, RequestOp{Range: &RangeRequest{Key: []byte(key)}})
 		}
 		var response TxnResponse
-		if err := s.call(ctx, "range", "/v3/kv/txn", txn, &response); err != nil {
+		if err := s.call(ctx, opRange, "/v3/kv/txn", txn, &response); err != nil {
 			return nil, err
 		}
 		for _, op := range response.Responses {
@@ -161,7 +169,7 @@
 func (s *Store) List(ctx context.Context, prefix string) ([]Value, error) {
 	var response RangeResponse
 	req := RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd([]byte(prefix)), KeysOnly: true}
-	if err := s.call(ctx, "range", "/v3/kv/range", req, &response); err != nil {
+	if err := s.call(ctx, opRange, "/v3/kv/range", req, &response); err != nil {
 		return nil, err
 	}
 	values := make([]Value, 0, len(response.Kvs))
@@ -316,8 +324,10 @@
 	if err != nil {
 		return &Error{Op: op, Verdict: savoryverdict.NotRun, Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxReadTimeouts*s.Timeout)
 	defer cancel()
+	timer := time.AfterFunc(s.Timeout, cancel)
+	defer timer.Stop()
 	resp, err := s.post(ctx, path, body)
 	if err != nil {
 		// The connection may be broken: the next call opens a new one.
@@ -325,7 +335,11 @@
 		return &Error{Op: op, Verdict: savoryverdict.OfDial(err), Err: err}
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	received := io.Reader(resp.Body)
+	if op == opRange {
+		received = &progressReader{reader: resp.Body, onProgress: func() { timer.Reset(s.Timeout) }}
+	}
+	text, err := io.ReadAll(io.LimitReader(received, maxResponseBytes))
 	if err != nil {
 		return &Error{Op: op, Verdict: savoryverdict.MayHaveRun, Err: err}
 	}
@@ -344,6 +358,20 @@
 	return nil
 }
 
+// progressReader calls onProgress for each part that it reads.
+type progressReader struct {
+	reader     io.Reader
+	onProgress func()
+}
+
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if n > 0 {
+		r.onProgress()
+	}
+	return n, err
+}
+
 func (s *Store) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address.String()+path, bytes.NewReader(body))
 	if err != nil {
