savorygate: a begun stream waits until its caller has left, not until the entry takes it for gone

Callers saw the connection of a stream closed between two events although they still waited: the entry counted their patience (2 s, 4 objectives, 8 gaps) from its own last event, which is earlier than the caller's by the delay of the network and of full buffers. An entry with a full link closes first. Once the header is written, only the end of the caller's connection or the deadline ends the wait now. Streams that have not begun keep their patience: they can still be answered with 502.

Evidence: TestBegunStreamWaitsUntilCallerLeaves, before: level=info message="chain failed" error="unexpected EOF" events=4 sinceEventMs=51 verdict=MayHaveRun (1.97 s later) level=info message="request not sent again" reason="retry budget used up" level=info message="request ended" cause="BackendServerFailed: ... unexpected EOF" mayHaveRun=true outcome=cut route=stream sends=1

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -25,8 +25,8 @@
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
 	// minPatience, objectivesOfPatience and gapsOfPatience state how long callers
-	// wait for an event: the longest of minPatience and these multiples of the
-	// latency objectives for the first event and for the time between events.
+	// wait for the first event: the longest of minPatience and these multiples of
+	// the latency objectives for the first event and for the time between events.
 	minPatience          = 2 * time.Second
 	objectivesOfPatience = 4
 	gapsOfPatience       = 8
@@ -136,15 +136,17 @@
 }
 
 // waitWithCaller waits for chainPollInterval and reports whether the caller still
-// waits for an event.
+// waits for an event. A stream that has begun waits until its caller has left: the
+// caller's last event is later than lastEventAt by the delay of the network.
 func (s *stream) waitWithCaller() bool {
 	patience := max(minPatience, objectivesOfPatience*s.route.Objective, gapsOfPatience*s.route.GapObjective)
-	now := s.g.now()
-	if now.Sub(s.lastEventAt) > patience || now.After(s.deadline) {
+	if !s.headerWritten && s.g.now().Sub(s.lastEventAt) > patience {
 		return false
 	}
+	ctx, cancel := s.context()
+	defer cancel()
 	select {
-	case <-s.r.Context().Done():
+	case <-ctx.Done():
 		return false
 	case <-time.After(chainPollInterval):
 		return true
@@ -249,7 +251,7 @@
 	}
 	for !s.g.allowRetry(s.service.Name) {
 		// A stream that has begun waits for the budget: it could only be cut off.
-		if s.eventCount == 0 || !s.waitWithCaller() {
+		if !s.headerWritten || !s.waitWithCaller() {
 			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
 			return false
 		}
