savorygate: the number of sends does not cut a begun stream

When the entry's link is full, or all engines of a zone are unreachable for a moment, six connections fail within milliseconds (refused) or two seconds (timeouts). Sends of a begun stream count only if they left now, and after the bound it is sent again each lateSendPause, within the retry budget, until its caller leaves or the deadline passes. Streams that have not begun keep the bound: they are answered.

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -33,8 +33,10 @@
 	// chainPollInterval is the time between two attempts to choose a chain, or to
 	// take a retry, during this wait.
 	chainPollInterval = 50 * time.Millisecond
-	// maxStreamSends bounds how often one stream is sent to an engine.
+	// maxStreamSends bounds how often one stream is sent to an engine. A stream that
+	// has begun is sent again after lateSendPause instead: it could only be cut off.
 	maxStreamSends = 6
+	lateSendPause  = 500 * time.Millisecond
 )
 
 // stream is the state of an event stream across all of its chains.
@@ -50,9 +52,11 @@
 	// the response for the caller.
 	headerCopied bool
 
-	// mu guards sends, firstServers, avoided and eventCount, which the
+	// mu guards sends, unsent, firstServers, avoided and eventCount, which the
 	// stallWatch of an attempt reads as well.
 	mu sync.Mutex
+	// unsent is the number of sends that never left this entry.
+	unsent int
 	// firstServers are the first engines of the chains that may have run the
 	// request.
 	firstServers map[string]bool
@@ -129,16 +133,16 @@
 			}, "chain chosen")
 			return choice, nil
 		}
-		if !s.mayHaveRun || !s.waitWithCaller() {
+		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
 			return choice, err
 		}
 	}
 }
 
-// waitWithCaller waits for chainPollInterval and reports whether the caller still
-// waits for an event. A stream that has begun waits until its caller has left: the
-// caller's last event is later than lastEventAt by the delay of the network.
-func (s *stream) waitWithCaller() bool {
+// waitWithCaller waits for d and reports whether the caller still waits for an
+// event. A stream that has begun waits until its caller has left: the caller's last
+// event is later than lastEventAt by the delay of the network.
+func (s *stream) waitWithCaller(d time.Duration) bool {
 	patience := max(minPatience, objectivesOfPatience*s.route.Objective, gapsOfPatience*s.route.GapObjective)
 	if !s.headerWritten && s.g.now().Sub(s.lastEventAt) > patience {
 		return false
@@ -148,7 +152,7 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-time.After(chainPollInterval):
+	case <-time.After(d):
 		return true
 	}
 }
@@ -178,6 +182,25 @@
 	return s.sends
 }
 
+// recordUnsent records that the last send never left this entry.
+func (s *stream) recordUnsent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsent++
+}
+
+// sendsLeft reports whether maxStreamSends allows another send. Of a stream that
+// has begun only those count that left this entry.
+func (s *stream) sendsLeft() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.sends
+	if s.eventCount > 0 {
+		n -= s.unsent
+	}
+	return n < maxStreamSends
+}
+
 // recordMayHaveRun records that a chain with this first engine may have run the
 // request.
 func (s *stream) recordMayHaveRun(id string) {
@@ -240,18 +263,21 @@
 // mayContinue reports whether the stream continues on another chain. It uses
 // the retry of reserveRetry, or else takes one from the budget.
 func (s *stream) mayContinue(a *attempt) bool {
-	if s.callerLeft() || !s.g.now().Before(s.deadline) || s.sends >= maxStreamSends {
+	if s.callerLeft() || !s.g.now().Before(s.deadline) {
 		return false
 	}
 	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
+	if !s.sendsLeft() && (!s.headerWritten || !s.waitWithCaller(lateSendPause)) {
+		return false
+	}
 	if s.retryTaken.CompareAndSwap(true, false) || notSent(a.err) {
 		return true
 	}
 	for !s.g.allowRetry(s.service.Name) {
 		// A stream that has begun waits for the budget: it could only be cut off.
-		if !s.headerWritten || !s.waitWithCaller() {
+		if !s.headerWritten || !s.waitWithCaller(chainPollInterval) {
 			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
 			return false
 		}
@@ -262,10 +288,7 @@
 // reserveRetry reports whether another chain could continue the stream now. If
 // so, it takes a retry from the budget.
 func (a *attempt) reserveRetry() bool {
-	a.mu.Lock()
-	sends := a.sends
-	a.mu.Unlock()
-	if !a.route.Resumable || sends >= maxStreamSends || a.g.now().After(a.deadline) {
+	if !a.route.Resumable || !a.sendsLeft() || a.g.now().After(a.deadline) {
 		return false
 	}
 	choice, err := a.findChain(a.chainRequest(), a.g.now())
@@ -378,6 +401,9 @@
 	if a.verdict != savoryverdict.NotRun {
 		a.recordMayHaveRun(a.chain[0].Server)
 	}
+	if failure != nil && failure.NotSent() {
+		a.recordUnsent()
+	}
 	if a.callerLeft() || errors.Is(err, errDeadline) {
 		return
 	}
