savorygate: a begun stream returns to engines that it avoids

Callers saw no further event, and the end of the connection at the latest at the deadline, although all engines were sound again: what had failed or refused once for a stream was excluded from its chains for good (stream.avoided). After one failure of each first engine, which takes less than a second beside a full link, no chain was left. While a begun stream finds no chain, its own exclusions are dropped now; the health of the engines, which expires or is cleared by a heartbeat, still applies, and the retry budget and lateSendPause bound its sends (the test allows 10 in a second in which all engines are full).

Evidence: TestBegunStreamReturnsToEngines, before: 14:40:41.951 level=info message="chain failed" error="unexpected EOF" events=4 path="e0=0-2,e3=2-4" verdict=MayHaveRun 14:40:41.951 level=info message="chain refused the request" notRun=true path="e2=0-2,e3=2-4" status=503 14:40:51.697 level=info message="request ended" cause="... no chain of engines covers all layers (a:lacks=0@-1,full=0@-1)" outcome=cut

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -136,6 +136,10 @@
 		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
 			return choice, err
 		}
+		if s.headerWritten {
+			// The health of the engines, which expires, still applies.
+			s.clearAvoided()
+		}
 	}
 }
 
@@ -174,6 +178,13 @@
 	s.avoided[id] = true
 }
 
+// clearAvoided allows all engines again.
+func (s *stream) clearAvoided() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.avoided)
+}
+
 // countSend counts a send and returns the number of sends so far.
 func (s *stream) countSend() int {
 	s.mu.Lock()
