savorygate: an engine that has ended does not count against the attempts of a begun stream

Callers saw no further event until the connection was cut, although engines were free: after max_attempts engines had run the stream, only these could run it again, also when their processes had ended, as engines that are replaced do (rule BUDGET does not count them). A begun stream without a chain now asks these engines for their reports, each 250 ms at most; one whose address refuses the connection is dropped from them. An engine that fails otherwise still counts (TestBegunStreamKeepsItsAttempts, which passed before).

Evidence: TestBegunStreamOutlivesItsAttempts, before: 14:44:18.204 "chain failed" error="unexpected EOF" events=4 path="e8=0-1,..." 14:44:18.425 "chain failed" error="unexpected EOF" events=8 path="e0=0-1,..." 14:44:18.425 to 25.738 "chain failed" error="... connection refused (NotRun)" events=8, of e8 and e0 in turn, 9 times 14:44:27.986 "request ended" cause="... no chain of engines covers all layers" outcome=cut

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -10,8 +10,10 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -33,6 +35,9 @@
 	// chainPollInterval is the time between two attempts to choose a chain, or to
 	// take a retry, during this wait.
 	chainPollInterval = 50 * time.Millisecond
+	// endedCheckPolls is the number of these attempts for each check whether engines
+	// have ended.
+	endedCheckPolls = 5
 	// maxStreamSends bounds how often one stream is sent to an engine. A stream that
 	// has begun is sent again after lateSendPause instead: it could only be cut off.
 	maxStreamSends = 6
@@ -57,9 +62,9 @@
 	mu sync.Mutex
 	// unsent is the number of sends that never left this entry.
 	unsent int
-	// firstServers are the first engines of the chains that may have run the
-	// request.
-	firstServers map[string]bool
+	// firstServers are the addresses of the first engines of the chains that may
+	// have run the request, without those that are known to have ended.
+	firstServers map[string]netip.AddrPort
 	// avoided are the engines that failed for this request.
 	avoided map[string]bool
 	// eventCount is the number of events passed on so far.
@@ -76,7 +81,7 @@
 // serveStream serves an event stream from one chain after another until the
 // stream is complete or no further attempt is allowed.
 func (c *call) serveStream() {
-	s := &stream{call: c, firstServers: make(map[string]bool), avoided: make(map[string]bool), lastEventAt: c.startedAt}
+	s := &stream{call: c, firstServers: make(map[string]netip.AddrPort), avoided: make(map[string]bool), lastEventAt: c.startedAt}
 	s.tokens = s.expectedTokens()
 	for {
 		choice, err := s.chooseChain()
@@ -122,7 +127,7 @@
 // until endChain. If the request may have run, it waits for a chain as long as the
 // caller does, since a refusal could no longer promise that the request has not run.
 func (s *stream) chooseChain() (savorypath.Choice, error) {
-	for {
+	for polls := 0; ; polls++ {
 		now := s.g.now()
 		r := s.chainRequest()
 		choice, err := s.findChain(r, now)
@@ -139,6 +144,9 @@
 		if s.headerWritten {
 			// The health of the engines, which expires, still applies.
 			s.clearAvoided()
+			if polls%endedCheckPolls == 0 {
+				s.removeEndedServers()
+			}
 		}
 	}
 }
@@ -214,15 +222,35 @@
 
 // recordMayHaveRun records that a chain with this first engine may have run the
 // request.
-func (s *stream) recordMayHaveRun(id string) {
+func (s *stream) recordMayHaveRun(first savorypath.Hop) {
 	s.mayHaveRun = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.firstServers[id] = true
+	s.firstServers[first.Server] = first.Address
+}
+
+// removeEndedServers removes from firstServers the engines whose process has ended:
+// they do not count against the attempts of the route.
+func (s *stream) removeEndedServers() {
+	firsts := s.startedServers()
+	if len(firsts) < max(1, s.route.Attempts) {
+		return
+	}
+	ctx, cancel := s.context()
+	defer cancel()
+	for id, address := range firsts {
+		if _, err := s.g.report(ctx, address); !errors.Is(err, syscall.ECONNREFUSED) {
+			continue
+		}
+		s.log.WithField("server", id).Info("engine of the stream has ended")
+		s.mu.Lock()
+		delete(s.firstServers, id)
+		s.mu.Unlock()
+	}
 }
 
 // startedServers returns a copy of firstServers.
-func (s *stream) startedServers() map[string]bool {
+func (s *stream) startedServers() map[string]netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.firstServers)
@@ -240,7 +268,7 @@
 	err := savorypath.ErrNoChain
 	// These engines are allowed again although they have failed once.
 	avoid := r.Avoid
-	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id] }
+	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id].IsValid() }
 	for first := range firsts {
 		r.FirstServer = first
 		if choice, err = s.g.view.chooseChain(s.service.Name, r, now); err == nil {
@@ -389,7 +417,7 @@
 		a.readRefusal()
 		return
 	}
-	a.recordMayHaveRun(first.Server)
+	a.recordMayHaveRun(first)
 	if !a.headerCopied {
 		a.copyResponseHeader(response.Header)
 		a.headerCopied = true
@@ -410,7 +438,7 @@
 	}
 	a.err = err
 	if a.verdict != savoryverdict.NotRun {
-		a.recordMayHaveRun(a.chain[0].Server)
+		a.recordMayHaveRun(a.chain[0])
 	}
 	if failure != nil && failure.NotSent() {
 		a.recordUnsent()
@@ -453,7 +481,7 @@
 		a.g.checkRefusal(a.log, a.service, fault, a.chain)
 		return
 	}
-	a.recordMayHaveRun(a.chain[0].Server)
+	a.recordMayHaveRun(a.chain[0])
 	a.verdict = savoryverdict.MayHaveRun
 	a.avoidServer(a.chain[0].Server)
 	if err != nil {
