savorygate: a stalled stream stays on its chain while no other engine responds

The first engine of the next chain is now asked for its report before the run is canceled. If it does not respond, it is avoided for a while, which lets the next check choose another, and the run goes on. If an event arrives meanwhile, the run goes on too.

Evidence: TestSilentStreamStaysWhileNoEngineResponds, before (the engine would have made its next event 450 ms later): 14:48:16.493 "first engine does not respond" error="... connection refused (NotRun)" server=e0 14:48:16.493 "chain failed" error="no event arrived in time" events=1 sinceEventMs=243 verdict=MayHaveRun 14:48:16.493 "chain failed" error="... connection refused (NotRun)" events=1 (then these every 1.2 s) 14:48:25.549 "request ended" cause="... no chain of engines covers all layers" outcome=cut

--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -182,9 +182,12 @@
 
 // cancelIfMovable cancels the attempt if the stream can continue on another
 // chain. Otherwise the attempt goes on: the engine may still respond, and there
-// is no better chain.
+// is no better chain. If no engine responds, this entry's own link may be full.
 func (w *stallWatch) cancelIfMovable() {
-	if !w.resumed(minStallDelay) && !w.isMoving() && w.attempt.reserveRetry() {
+	if w.resumed(minStallDelay) || w.isMoving() || !w.attempt.reserveRetry(w.ctx) {
+		return
+	}
+	if !w.resumed(minStallDelay) {
 		w.attempt.cancel(errStalled)
 	}
 }
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -324,9 +324,9 @@
 	return true
 }
 
-// reserveRetry reports whether another chain could continue the stream now. If
-// so, it takes a retry from the budget.
-func (a *attempt) reserveRetry() bool {
+// reserveRetry reports whether another chain, whose first engine responds, could
+// continue the stream now. If so, it takes a retry from the budget.
+func (a *attempt) reserveRetry(ctx context.Context) bool {
 	if !a.route.Resumable || !a.sendsLeft() || a.g.now().After(a.deadline) {
 		return false
 	}
@@ -335,6 +335,14 @@
 		return false
 	}
 	a.g.view.endChain(a.service.Name, choice.Chain, a.tokens)
+	first := choice.Chain[0]
+	if _, err := a.g.report(ctx, first.Address); err != nil {
+		if ctx.Err() == nil {
+			until := a.g.view.recordFailure(first.Server, errors.Is(err, syscall.ECONNREFUSED), a.g.now())
+			a.log.WithError(err).WithFields(log.Fields{"server": first.Server, "avoidedMs": until.Sub(a.g.now()).Milliseconds()}).Info("next engine does not respond, stalled stream stays on its chain")
+		}
+		return false
+	}
 	if !a.retryTaken.Load() && !a.g.allowRetry(a.service.Name) {
 		a.log.WithField("reason", "retry budget used up").Info("stalled stream stays on its chain")
 		return false
