savorygate: a begun stream leaves a stalled engine also after many sends

Callers saw no further event until their deadline: a stream that had been sent six times, for instance to full engines in a failure that it survived, was never taken off a stalled chain again (reserveRetry). The bound no longer applies to stalls of a begun stream. A retry that is already reserved needs no lateSendPause.

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -220,6 +220,13 @@
 	return n < maxStreamSends
 }
 
+// hasEvents reports whether an event was passed on.
+func (s *stream) hasEvents() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eventCount > 0
+}
+
 // recordMayHaveRun records that a chain with this first engine may have run the
 // request.
 func (s *stream) recordMayHaveRun(first savorypath.Hop) {
@@ -308,10 +315,17 @@
 	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
-	if !s.sendsLeft() && (!s.headerWritten || !s.waitWithCaller(lateSendPause)) {
+	late := !s.sendsLeft()
+	if late && !s.headerWritten {
+		return false
+	}
+	if s.retryTaken.CompareAndSwap(true, false) {
+		return true
+	}
+	if late && !s.waitWithCaller(lateSendPause) {
 		return false
 	}
-	if s.retryTaken.CompareAndSwap(true, false) || notSent(a.err) {
+	if notSent(a.err) {
 		return true
 	}
 	for !s.g.allowRetry(s.service.Name) {
@@ -327,7 +341,7 @@
 // reserveRetry reports whether another chain, whose first engine responds, could
 // continue the stream now. If so, it takes a retry from the budget.
 func (a *attempt) reserveRetry(ctx context.Context) bool {
-	if !a.route.Resumable || !a.sendsLeft() || a.g.now().After(a.deadline) {
+	if !a.route.Resumable || !a.hasEvents() && !a.sendsLeft() || a.g.now().After(a.deadline) {
 		return false
 	}
 	choice, err := a.findChain(a.chainRequest(), a.g.now())
