--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -10,8 +10,10 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -25,16 +27,21 @@
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
 	// minPatience, objectivesOfPatience and gapsOfPatience state how long callers
-	// wait for an event: the longest of minPatience and these multiples of the
-	// latency objectives for the first event and for the time between events.
+	// wait for the first event: the longest of minPatience and these multiples of
+	// the latency objectives for the first event and for the time between events.
 	minPatience          = 2 * time.Second
 	objectivesOfPatience = 4
 	gapsOfPatience       = 8
 	// chainPollInterval is the time between two attempts to choose a chain, or to
 	// take a retry, during this wait.
 	chainPollInterval = 50 * time.Millisecond
-	// maxStreamSends bounds how often one stream is sent to an engine.
+	// endedCheckPolls is the number of these attempts for each check whether engines
+	// have ended.
+	endedCheckPolls = 5
+	// maxStreamSends bounds how often one stream is sent to an engine. A stream that
+	// has begun is sent again after lateSendPause instead: it could only be cut off.
 	maxStreamSends = 6
+	lateSendPause  = 500 * time.Millisecond
 )
 
 // stream is the state of an event stream across all of its chains.
@@ -50,12 +57,14 @@
 	// the response for the caller.
 	headerCopied bool
 
-	// mu guards sends, firstServers, avoided and eventCount, which the
+	// mu guards sends, unsent, firstServers, avoided and eventCount, which the
 	// stallWatch of an attempt reads as well.
 	mu sync.Mutex
-	// firstServers are the first engines of the chains that may have run the
-	// request.
-	firstServers map[string]bool
+	// unsent is the number of sends that never left this entry.
+	unsent int
+	// firstServers are the addresses of the first engines of the chains that may
+	// have run the request, without those that are known to have ended.
+	firstServers map[string]netip.AddrPort
 	// avoided are the engines that failed for this request.
 	avoided map[string]bool
 	// eventCount is the number of events passed on so far.
@@ -72,7 +81,7 @@
 // serveStream serves an event stream from one chain after another until the
 // stream is complete or no further attempt is allowed.
 func (c *call) serveStream() {
-	s := &stream{call: c, firstServers: make(map[string]bool), avoided: make(map[string]bool), lastEventAt: c.startedAt}
+	s := &stream{call: c, firstServers: make(map[string]netip.AddrPort), avoided: make(map[string]bool), lastEventAt: c.startedAt}
 	s.tokens = s.expectedTokens()
 	for {
 		choice, err := s.chooseChain()
@@ -118,7 +127,7 @@
 // until endChain. If the request may have run, it waits for a chain as long as the
 // caller does, since a refusal could no longer promise that the request has not run.
 func (s *stream) chooseChain() (savorypath.Choice, error) {
-	for {
+	for polls := 0; ; polls++ {
 		now := s.g.now()
 		r := s.chainRequest()
 		choice, err := s.findChain(r, now)
@@ -129,24 +138,33 @@
 			}, "chain chosen")
 			return choice, nil
 		}
-		if !s.mayHaveRun || !s.waitWithCaller() {
+		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
 			return choice, err
 		}
+		if s.headerWritten {
+			// The health of the engines, which expires, still applies.
+			s.clearAvoided()
+			if polls%endedCheckPolls == 0 {
+				s.removeEndedServers()
+			}
+		}
 	}
 }
 
-// waitWithCaller waits for chainPollInterval and reports whether the caller still
-// waits for an event.
-func (s *stream) waitWithCaller() bool {
+// waitWithCaller waits for d and reports whether the caller still waits for an
+// event. A stream that has begun waits until its caller has left: the caller's last
+// event is later than lastEventAt by the delay of the network.
+func (s *stream) waitWithCaller(d time.Duration) bool {
 	patience := max(minPatience, objectivesOfPatience*s.route.Objective, gapsOfPatience*s.route.GapObjective)
-	now := s.g.now()
-	if now.Sub(s.lastEventAt) > patience || now.After(s.deadline) {
+	if !s.headerWritten && s.g.now().Sub(s.lastEventAt) > patience {
 		return false
 	}
+	ctx, cancel := s.context()
+	defer cancel()
 	select {
-	case <-s.r.Context().Done():
+	case <-ctx.Done():
 		return false
-	case <-time.After(chainPollInterval):
+	case <-time.After(d):
 		return true
 	}
 }
@@ -168,6 +186,13 @@
 	s.avoided[id] = true
 }
 
+// clearAvoided allows all engines again.
+func (s *stream) clearAvoided() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.avoided)
+}
+
 // countSend counts a send and returns the number of sends so far.
 func (s *stream) countSend() int {
 	s.mu.Lock()
@@ -176,17 +201,63 @@
 	return s.sends
 }
 
+// recordUnsent records that the last send never left this entry.
+func (s *stream) recordUnsent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsent++
+}
+
+// sendsLeft reports whether maxStreamSends allows another send. Of a stream that
+// has begun only those count that left this entry.
+func (s *stream) sendsLeft() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.sends
+	if s.eventCount > 0 {
+		n -= s.unsent
+	}
+	return n < maxStreamSends
+}
+
+// hasEvents reports whether an event was passed on.
+func (s *stream) hasEvents() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eventCount > 0
+}
+
 // recordMayHaveRun records that a chain with this first engine may have run the
 // request.
-func (s *stream) recordMayHaveRun(id string) {
+func (s *stream) recordMayHaveRun(first savorypath.Hop) {
 	s.mayHaveRun = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.firstServers[id] = true
+	s.firstServers[first.Server] = first.Address
+}
+
+// removeEndedServers removes from firstServers the engines whose process has ended:
+// they do not count against the attempts of the route.
+func (s *stream) removeEndedServers() {
+	firsts := s.startedServers()
+	if len(firsts) < max(1, s.route.Attempts) {
+		return
+	}
+	ctx, cancel := s.context()
+	defer cancel()
+	for id, address := range firsts {
+		if _, err := s.g.report(ctx, address); !errors.Is(err, syscall.ECONNREFUSED) {
+			continue
+		}
+		s.log.WithField("server", id).Info("engine of the stream has ended")
+		s.mu.Lock()
+		delete(s.firstServers, id)
+		s.mu.Unlock()
+	}
 }
 
 // startedServers returns a copy of firstServers.
-func (s *stream) startedServers() map[string]bool {
+func (s *stream) startedServers() map[string]netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.firstServers)
@@ -204,7 +275,7 @@
 	err := savorypath.ErrNoChain
 	// These engines are allowed again although they have failed once.
 	avoid := r.Avoid
-	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id] }
+	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id].IsValid() }
 	for first := range firsts {
 		r.FirstServer = first
 		if choice, err = s.g.view.chooseChain(s.service.Name, r, now); err == nil {
@@ -238,18 +309,28 @@
 // mayContinue reports whether the stream continues on another chain. It uses
 // the retry of reserveRetry, or else takes one from the budget.
 func (s *stream) mayContinue(a *attempt) bool {
-	if s.callerLeft() || !s.g.now().Before(s.deadline) || s.sends >= maxStreamSends {
+	if s.callerLeft() || !s.g.now().Before(s.deadline) {
 		return false
 	}
 	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
-	if s.retryTaken.CompareAndSwap(true, false) || notSent(a.err) {
+	late := !s.sendsLeft()
+	if late && !s.headerWritten {
+		return false
+	}
+	if s.retryTaken.CompareAndSwap(true, false) {
+		return true
+	}
+	if late && !s.waitWithCaller(lateSendPause) {
+		return false
+	}
+	if notSent(a.err) {
 		return true
 	}
 	for !s.g.allowRetry(s.service.Name) {
 		// A stream that has begun waits for the budget: it could only be cut off.
-		if s.eventCount == 0 || !s.waitWithCaller() {
+		if !s.headerWritten || !s.waitWithCaller(chainPollInterval) {
 			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
 			return false
 		}
@@ -257,13 +338,10 @@
 	return true
 }
 
-// reserveRetry reports whether another chain could continue the stream now. If
-// so, it takes a retry from the budget.
-func (a *attempt) reserveRetry() bool {
-	a.mu.Lock()
-	sends := a.sends
-	a.mu.Unlock()
-	if !a.route.Resumable || sends >= maxStreamSends || a.g.now().After(a.deadline) {
+// reserveRetry reports whether another chain, whose first engine responds, could
+// continue the stream now. If so, it takes a retry from the budget.
+func (a *attempt) reserveRetry(ctx context.Context) bool {
+	if !a.route.Resumable || !a.hasEvents() && !a.sendsLeft() || a.g.now().After(a.deadline) {
 		return false
 	}
 	choice, err := a.findChain(a.chainRequest(), a.g.now())
@@ -271,6 +349,14 @@
 		return false
 	}
 	a.g.view.endChain(a.service.Name, choice.Chain, a.tokens)
+	first := choice.Chain[0]
+	if _, err := a.g.report(ctx, first.Address); err != nil {
+		if ctx.Err() == nil {
+			until := a.g.view.recordFailure(first.Server, errors.Is(err, syscall.ECONNREFUSED), a.g.now())
+			a.log.WithError(err).WithFields(log.Fields{"server": first.Server, "avoidedMs": until.Sub(a.g.now()).Milliseconds()}).Info("next engine does not respond, stalled stream stays on its chain")
+		}
+		return false
+	}
 	if !a.retryTaken.Load() && !a.g.allowRetry(a.service.Name) {
 		a.log.WithField("reason", "retry budget used up").Info("stalled stream stays on its chain")
 		return false
@@ -353,7 +439,7 @@
 		a.readRefusal()
 		return
 	}
-	a.recordMayHaveRun(first.Server)
+	a.recordMayHaveRun(first)
 	if !a.headerCopied {
 		a.copyResponseHeader(response.Header)
 		a.headerCopied = true
@@ -374,7 +460,10 @@
 	}
 	a.err = err
 	if a.verdict != savoryverdict.NotRun {
-		a.recordMayHaveRun(a.chain[0].Server)
+		a.recordMayHaveRun(a.chain[0])
+	}
+	if failure != nil && failure.NotSent() {
+		a.recordUnsent()
 	}
 	if a.callerLeft() || errors.Is(err, errDeadline) {
 		return
@@ -414,7 +503,7 @@
 		a.g.checkRefusal(a.log, a.service, fault, a.chain)
 		return
 	}
-	a.recordMayHaveRun(a.chain[0].Server)
+	a.recordMayHaveRun(a.chain[0])
 	a.verdict = savoryverdict.MayHaveRun
 	a.avoidServer(a.chain[0].Server)
 	if err != nil {
