savorygate: tell a slow transfer of the configuration from a silent store

Each failed reading now gives one line with the bytes received, the time taken and the timeout; the retry delay bounds the lines. A counter has the bytes of all readings. savorystore.WithReceived passes the progress of a call to the gate.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -118,10 +118,20 @@
 // readConfig reads the configuration.
 func (g *Gate) readConfig() error {
 	timeout := max(storeTimeout, g.configTimeout)
-	ctx, cancel := context.WithTimeout(g.ctx, timeout)
+	startedAt := g.now()
+	received := 0
+	ctx, cancel := context.WithTimeout(savorystore.WithReceived(g.ctx, func(n int) {
+		received += n
+		g.metrics.storeReceived.Add(float64(n))
+	}), timeout)
 	defer cancel()
 	v, err := g.Store.Get(ctx, g.Store.ConfigKey)
 	g.recordStoreResult("get", err)
+	if err != nil && g.ctx.Err() == nil {
+		g.Log.WithError(err).WithFields(log.Fields{
+			"received": received, "tookMs": g.now().Sub(startedAt).Milliseconds(), "timeoutMs": timeout.Milliseconds(),
+		}).Warn("configuration not read")
+	}
 	g.configTimeout = storeTimeout
 	if errors.Is(err, context.DeadlineExceeded) {
 		// A large configuration may take longer over the link of a small VM.
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -21,6 +21,7 @@
 	inFlight         prometheus.Gauge
 	retries          *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
+	storeReceived    prometheus.Counter
 	orders           *prometheus.CounterVec
 	dials            prometheus.Counter
 	version          prometheus.Gauge
@@ -47,6 +48,7 @@
 		inFlight:         prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "requests_in_flight", Help: "Requests in flight."}),
 		retries:          newCounterVec("retries_total", "Requests sent again, by what is known of the failed one.", "verdict"),
 		storeCalls:       newCounterVec("store_calls_total", "Calls of the platform's store by operation and result.", "operation", "result"),
+		storeReceived:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations received from the platform's store."}),
 		orders:           newCounterVec("orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		dials:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
 		version:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
@@ -58,7 +60,7 @@
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.orders,
+	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.orders,
 		m.dials, m.version, m.listAge, m.servers, m.logDropped, collectors.NewGoCollector())
 	return m
 }
