savorygate: a reading of the configuration goes on while bytes arrive

Cause, shown by the test: a reading ended after 1 s, the next ones after at most ConfigTime, and began again from the first byte. A configuration that needs longer than ConfigTime over the link was never read. Fix: the timeout of 1 s, which grows as before, is now that without a byte. The whole reading is bounded by the time of 4 MiB at 5 Mbit/s. A silent store ends a reading as soon as before, and one that falls silent within a transfer after the same time.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -28,7 +28,7 @@
 	// staleListFraction is the age of the list, as a fraction of DrainTime,
 	// above which an entry that is not the reader reads it itself.
 	staleListFraction = 0.55
-	// storeTimeout bounds a store call.
+	// storeTimeout bounds a store call that transfers few bytes.
 	storeTimeout = time.Second
 	// storeRetryDelay is the delay after a failed call; it doubles up to
 	// maxStoreRetryDelay.
@@ -117,26 +117,21 @@
 
 // readConfig reads the configuration.
 func (g *Gate) readConfig() error {
-	timeout := max(storeTimeout, g.configTimeout)
-	startedAt := g.now()
-	received := 0
-	ctx, cancel := context.WithTimeout(savorystore.WithReceived(g.ctx, func(n int) {
-		received += n
-		g.metrics.storeReceived.Add(float64(n))
-	}), timeout)
-	defer cancel()
+	silence := max(storeTimeout, g.configTimeout)
+	t, ctx, stop := g.startTransfer(silence, maxConfigBytes)
+	defer stop()
 	v, err := g.Store.Get(ctx, g.Store.ConfigKey)
 	g.recordStoreResult("get", err)
+	g.configTimeout = storeTimeout
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The store may be slow to respond.
+		g.configTimeout = min(2*silence, g.Settings().ConfigTime)
+	}
 	if err != nil && g.ctx.Err() == nil {
 		g.Log.WithError(err).WithFields(log.Fields{
-			"received": received, "tookMs": g.now().Sub(startedAt).Milliseconds(), "timeoutMs": timeout.Milliseconds(),
+			"received": t.received, "tookMs": g.now().Sub(t.startedAt).Milliseconds(), "silenceMs": silence.Milliseconds(),
 		}).Warn("configuration not read")
 	}
-	g.configTimeout = storeTimeout
-	if errors.Is(err, context.DeadlineExceeded) {
-		// A large configuration may take longer over the link of a small VM.
-		g.configTimeout = min(2*timeout, g.Settings().ConfigTime)
-	}
 	if err != nil || !v.Exists() || v.Position() == g.configPosition || g.outdated(v.Era) {
 		return err
 	}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -82,8 +82,8 @@
 	// configPosition is the store's position of the last configuration that was
 	// read.
 	configPosition savoryworld.Position
-	// configTimeout bounds the next reading of the configuration; it grows while
-	// readings time out.
+	// configTimeout is how long the next reading of the configuration goes on without
+	// a byte; it grows while readings time out.
 	configTimeout time.Duration
 
 	budgetMu sync.Mutex
