savorygate: a reading of the list of servers goes on while bytes arrive

A list that takes longer over the entry's link was read again and again from its first page: the entry had no servers, or an ever older list, and its link was full. Fix: the timeout of 1 s is now that without a byte, for each page. All of it is bounded by the time of 2 MiB at 5 Mbit/s.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -166,8 +166,8 @@
 
 // readList reads the list of servers.
 func (g *Gate) readList(snapshot *listSnapshotState) error {
-	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-	defer cancel()
+	_, ctx, stop := g.startTransfer(storeTimeout, maxListBytes)
+	defer stop()
 	readAt := g.now()
 	values, position, err := g.Store.List(ctx, g.Store.ServerPrefix, false)
 	g.recordStoreResult("list", err)
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -48,7 +48,7 @@
 		inFlight:         prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "requests_in_flight", Help: "Requests in flight."}),
 		retries:          newCounterVec("retries_total", "Requests sent again, by what is known of the failed one.", "verdict"),
 		storeCalls:       newCounterVec("store_calls_total", "Calls of the platform's store by operation and result.", "operation", "result"),
-		storeReceived:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations received from the platform's store."}),
+		storeReceived:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations and lists of servers received from the platform's store."}),
 		orders:           newCounterVec("orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		dials:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
 		version:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
--- a/savoryentry/savorygate/transfer.go
+++ b/savoryentry/savorygate/transfer.go
@@ -18,6 +18,8 @@
 	minTransferRate = 20_000_000 / 8 / 4
 	// maxConfigBytes is the size of the largest configuration.
 	maxConfigBytes = 4 << 20
+	// maxListBytes is the size of a long list of servers: some thousand registrations.
+	maxListBytes = 2 << 20
 )
 
 // transferTime is the time in which n bytes arrive in base64 at minTransferRate.
