savorygate: readings of an unchanged configuration leave most of the link free

Fix: such an entry waits at least four times the transfer time of its last large reading (128 KiB or more), as far as a new version is still in force within ConfigTime. The wait for the first byte does not count. An entry that passes its readings on keeps the interval, since peers need time as well; so do small configurations and the list of servers.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -80,30 +80,37 @@
 // followList reads the list of servers under the same conditions.
 func (g *Gate) followList() error {
 	var snapshot listSnapshotState
-	return g.pollStore(func() error { return g.readList(&snapshot) })
+	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshot) })
 }
 
 // pollStore calls read at the interval of the readings while this entry is the
 // reader, its list is stale or it has no configuration. Failed readings back off,
-// since every entry reads while the store is unreachable.
-func (g *Gate) pollStore(read func() error) error {
+// since every entry reads while the store is unreachable. An entry that passes nothing on
+// spaces readings for which read returns a transfer.
+func (g *Gate) pollStore(read func() (*transfer, error)) error {
 	var readAt time.Time
+	var last *transfer
 	delay := storeRetryDelay
 	for g.alive() {
 		now := g.now()
 		interval := time.Duration(listIntervalFraction * float64(g.Settings().DrainTime))
-		needed := g.relay.storeRank(now) < maxStoreReaders || g.listAge() > g.staleListAge() || g.table.Load() == nil
+		reader := g.relay.storeRank(now) < maxStoreReaders
+		if last != nil && (!reader || g.relay.liveCount(now) == 1) {
+			interval = readingInterval(interval, last.received, last.took(), g.Settings().ConfigTime)
+		}
+		needed := reader || g.listAge() > g.staleListAge() || g.table.Load() == nil
 		if now.Sub(readAt) < interval || !needed || g.deferToFirstReader(now) {
 			g.sleep(pollInterval / 2)
 			continue
 		}
 		readAt = now
-		if err := read(); err != nil {
+		t, err := read()
+		if err != nil {
 			g.sleep(delay)
 			delay = min(2*delay, maxStoreRetryDelay)
 			continue
 		}
-		delay = storeRetryDelay
+		last, delay = t, storeRetryDelay
 	}
 	return nil
 }
@@ -116,7 +123,7 @@
 }
 
 // readConfig reads the configuration.
-func (g *Gate) readConfig() error {
+func (g *Gate) readConfig() (*transfer, error) {
 	silence := max(storeTimeout, g.configTimeout)
 	t, ctx, stop := g.startTransfer(silence, maxConfigBytes)
 	defer stop()
@@ -133,11 +140,11 @@
 		}).Warn("configuration not read")
 	}
 	if err != nil || !v.Exists() || v.Position() == g.configPosition || g.outdated(v.Era) {
-		return err
+		return t, err
 	}
 	g.configPosition = v.Position()
 	g.applyConfig(v)
-	return nil
+	return t, nil
 }
 
 func (g *Gate) applyConfig(v savorystore.Value) {
