--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -199,7 +199,7 @@
 		g.wakeSync()
 	}
 	if g.relay.storeRank(g.now()) < maxStoreReaders {
-		g.storeListSnapshot(ctx, snapshot)
+		g.storeListSnapshot(snapshot)
 	}
 	return nil
 }
--- a/savoryentry/savorygate/snapshot.go
+++ b/savoryentry/savorygate/snapshot.go
@@ -35,7 +35,7 @@
 // storeListSnapshot writes a snapshot if the list has changed since the last one. If
 // another reader has written one, its revision is recorded, and the next call
 // writes.
-func (g *Gate) storeListSnapshot(ctx context.Context, k *listSnapshotState) {
+func (g *Gate) storeListSnapshot(k *listSnapshotState) {
 	listing, _ := g.view.listForPeers(g.now())
 	snapshot := listing.Snapshot()
 	if era := g.storeEra.Load(); era != k.era {
@@ -56,6 +56,8 @@
 		k.fingerprint = fingerprint
 		return
 	}
+	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout+transferTime(len(body)))
+	defer cancel()
 	result, err := g.Store.Swap(ctx, savorystore.Swap{Key: listSnapshotKey, ExpectedRevision: k.revision, Body: body})
 	g.recordStoreResult("swap", err)
 	if err != nil {
