--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -28,7 +28,7 @@
 	// staleListFraction is the age of the list, as a fraction of DrainTime,
 	// above which an entry that is not the reader reads it itself.
 	staleListFraction = 0.55
-	// storeTimeout bounds a store call.
+	// storeTimeout bounds a store call that transfers few bytes.
 	storeTimeout = time.Second
 	// storeRetryDelay is the delay after a failed call; it doubles up to
 	// maxStoreRetryDelay.
@@ -80,30 +80,37 @@
 // followList reads the list of servers under the same conditions.
 func (g *Gate) followList() error {
 	var snapshot listSnapshotState
-	return g.pollStore(func() error { return g.readList(&snapshot) })
+	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshot) })
 }
 
 // pollStore calls read at the interval of the readings while this entry is the
 // reader, its list is stale or it has no configuration. Failed readings back off,
-// since every entry reads while the store is unreachable.
-func (g *Gate) pollStore(read func() error) error {
+// since every entry reads while the store is unreachable. An entry that passes nothing on
+// spaces readings for which read returns a transfer.
+func (g *Gate) pollStore(read func() (*transfer, error)) error {
 	var readAt time.Time
+	var last *transfer
 	delay := storeRetryDelay
 	for g.alive() {
 		now := g.now()
 		interval := time.Duration(listIntervalFraction * float64(g.Settings().DrainTime))
-		needed := g.relay.storeRank(now) < maxStoreReaders || g.listAge() > g.staleListAge() || g.table.Load() == nil
+		reader := g.relay.storeRank(now) < maxStoreReaders
+		if last != nil && (!reader || g.relay.liveCount(now) == 1) {
+			interval = readingInterval(interval, last.received, last.took(), g.Settings().ConfigTime)
+		}
+		needed := reader || g.listAge() > g.staleListAge() || g.table.Load() == nil
 		if now.Sub(readAt) < interval || !needed || g.deferToFirstReader(now) {
 			g.sleep(pollInterval / 2)
 			continue
 		}
 		readAt = now
-		if err := read(); err != nil {
+		t, err := read()
+		if err != nil {
 			g.sleep(delay)
 			delay = min(2*delay, maxStoreRetryDelay)
 			continue
 		}
-		delay = storeRetryDelay
+		last, delay = t, storeRetryDelay
 	}
 	return nil
 }
@@ -116,23 +123,28 @@
 }
 
 // readConfig reads the configuration.
-func (g *Gate) readConfig() error {
-	timeout := max(storeTimeout, g.configTimeout)
-	ctx, cancel := context.WithTimeout(g.ctx, timeout)
-	defer cancel()
+func (g *Gate) readConfig() (*transfer, error) {
+	silence := max(storeTimeout, g.configTimeout)
+	t, ctx, stop := g.startTransfer(silence, maxConfigBytes)
+	defer stop()
 	v, err := g.Store.Get(ctx, g.Store.ConfigKey)
 	g.recordStoreResult("get", err)
 	g.configTimeout = storeTimeout
 	if errors.Is(err, context.DeadlineExceeded) {
-		// A large configuration may take longer over the link of a small VM.
-		g.configTimeout = min(2*timeout, g.Settings().ConfigTime)
+		// The store may be slow to respond.
+		g.configTimeout = min(2*silence, g.Settings().ConfigTime)
+	}
+	if err != nil && g.ctx.Err() == nil {
+		g.Log.WithError(err).WithFields(log.Fields{
+			"received": t.received, "tookMs": g.now().Sub(t.startedAt).Milliseconds(), "silenceMs": silence.Milliseconds(),
+		}).Warn("configuration not read")
 	}
 	if err != nil || !v.Exists() || v.Position() == g.configPosition || g.outdated(v.Era) {
-		return err
+		return t, err
 	}
 	g.configPosition = v.Position()
 	g.applyConfig(v)
-	return nil
+	return t, nil
 }
 
 func (g *Gate) applyConfig(v savorystore.Value) {
@@ -161,8 +173,8 @@
 
 // readList reads the list of servers.
 func (g *Gate) readList(snapshot *listSnapshotState) error {
-	ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-	defer cancel()
+	_, ctx, stop := g.startTransfer(storeTimeout, maxListBytes)
+	defer stop()
 	readAt := g.now()
 	values, position, err := g.Store.List(ctx, g.Store.ServerPrefix, false)
 	g.recordStoreResult("list", err)
@@ -187,7 +199,7 @@
 		g.wakeSync()
 	}
 	if g.relay.storeRank(g.now()) < maxStoreReaders {
-		g.storeListSnapshot(ctx, snapshot)
+		g.storeListSnapshot(snapshot)
 	}
 	return nil
 }
