savorygate: a stalled stream takes a retry only if it is still stalled; begun streams return to avoided engines after 0.5 s

Two ways in which spend the budget: the retry was taken before the report of the next engine was awaited, and lost if an event arrived meanwhile; engines that had refused a stream were asked again each 50 ms.

--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -184,10 +184,8 @@
 // chain. Otherwise the attempt goes on: the engine may still respond, and there
 // is no better chain. If no engine responds, this entry's own link may be full.
 func (w *stallWatch) cancelIfMovable() {
-	if w.resumed(minStallDelay) || w.isMoving() || !w.attempt.reserveRetry(w.ctx) {
-		return
-	}
-	if !w.resumed(minStallDelay) {
+	stalled := func() bool { return !w.resumed(minStallDelay) && !w.isMoving() }
+	if stalled() && w.attempt.reserveRetry(w.ctx, stalled) {
 		w.attempt.cancel(errStalled)
 	}
 }
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -38,6 +38,10 @@
 	// endedCheckPolls is the number of these attempts for each check whether engines
 	// have ended.
 	endedCheckPolls = 5
+	// returnPolls is the number of these attempts after which a begun stream allows
+	// again the engines that it avoids. Each send to an engine that still refuses it
+	// takes a retry from the budget of all streams.
+	returnPolls = 10
 	// maxStreamSends bounds how often one stream is sent to an engine. A stream that
 	// has begun is sent again after lateSendPause instead: it could only be cut off.
 	maxStreamSends = 6
@@ -142,8 +146,10 @@
 			return choice, err
 		}
 		if s.headerWritten {
-			// The health of the engines, which expires, still applies.
-			s.clearAvoided()
+			if polls%returnPolls == returnPolls-1 {
+				// The health of the engines, which expires, still applies.
+				s.clearAvoided()
+			}
 			if polls%endedCheckPolls == 0 {
 				s.removeEndedServers()
 			}
@@ -338,9 +344,10 @@
 	return true
 }
 
-// reserveRetry reports whether another chain, whose first engine responds, could
-// continue the stream now. If so, it takes a retry from the budget.
-func (a *attempt) reserveRetry(ctx context.Context) bool {
+// reserveRetry reports whether the stream is still stalled and another chain, whose
+// first engine responds, could continue it now. If so, it takes a retry from the budget,
+// which would be lost to other streams if this one went on.
+func (a *attempt) reserveRetry(ctx context.Context, stalled func() bool) bool {
 	if !a.route.Resumable || !a.hasEvents() && !a.sendsLeft() || a.g.now().After(a.deadline) {
 		return false
 	}
@@ -357,6 +364,9 @@
 		}
 		return false
 	}
+	if !stalled() {
+		return false
+	}
 	if !a.retryTaken.Load() && !a.g.allowRetry(a.service.Name) {
 		a.log.WithField("reason", "retry budget used up").Info("stalled stream stays on its chain")
 		return false
