--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -38,6 +38,9 @@
 	MaxTokens    int
 	// ExpectedTokens is the caller's estimate of the answer's tokens, or 0.
 	ExpectedTokens int
+	// PromptParts are the IDs of the parts of the prompt that requests share, in order.
+	// The last part, which belongs to the request itself or to its session, is left out.
+	PromptParts []string
 }
 
 // Forward holds the values that the entry sets in the header of a request to a
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -480,6 +481,7 @@
 	}
 	a.log.WithError(err).WithFields(log.Fields{
 		"path": a.watch.currentChain().String(), "events": a.eventCount, "sinceEventMs": a.g.now().Sub(a.lastEventAt).Milliseconds(), "verdict": string(a.verdict),
+		"headArrived": a.response != nil, "parts": strings.Join(a.caller.PromptParts, ","),
 	}).Info("chain failed")
 	switch {
 	case failure != nil && failure.NotSent():
