savoryquarantine: parts of prompts that end servers are refused

savoryquarantine collects the ends of servers under requests, and the answers that went on, from all entries (SyncState.Quarantine, only while it differs). The part that explains most ends is taken, the later one in the prompts if two explain the same; ends that it explains count against no other. Then its requests are refused at once with 503 if they have not run, those without an event are ended, and one entry tries it again after 1, 2, 4, ... minutes.

The golden message of the peers was recorded anew for the new optional fields.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -250,6 +250,13 @@
 	}
 }
 
+// EndsWithConnection reports whether the end of the body is the end of the connection,
+// since the response states neither a length nor chunks. A server that fails may end it
+// alike.
+func (a *Response) EndsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 // Read reads the body and records its end.
 func (a *Response) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -11,12 +11,14 @@
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryworld"
 )
 
 func TestGolden(t *testing.T) {
+	part := savoryquarantine.Part{Service: "timber", Model: "m", ID: "5c1e07a2"}
 	// Guards against a change of the bytes that peers exchange, such as by a
 	// renamed field without a tag or an enum with another text. A process of
 	// another build would read zero values.
@@ -56,10 +58,18 @@
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
-			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true},
+			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults:    []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
 			Slowdowns: []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
+			Quarantine: &savoryquarantine.State{
+				Ends: []savoryquarantine.End{{
+					Server: savoryquarantine.Server{ID: "oak-1", Born: time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC), Address: netip.MustParseAddrPort("10.0.0.1:8001")},
+					Age:    time.Second, Parts: []savoryquarantine.Implicated{{Part: part, Begun: true, Depth: 1, Owners: []uint64{7}}},
+				}},
+				Sound:  []savoryquarantine.Sound{{Part: part, Age: time.Second}},
+				Blames: []savoryquarantine.Blame{{Part: part, Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second}},
+			},
 			Config: &savoryrouting.Config{
 				Version: 9,
 				Routes: []savoryrouting.Route{{
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savorypath"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryworld"
@@ -37,6 +38,10 @@
 	// FetchesConfig is set if the sender fetches configurations itself. A sender that does
 	// not, of an older build, gets them in SyncState.Config.
 	FetchesConfig bool `msgpack:",omitempty"`
+	// PromptPrint is the fingerprint of what the sender knows of parts of prompts that end
+	// servers. TracksPrompts is set if the sender merges the states of others.
+	PromptPrint   uint64 `msgpack:",omitempty"`
+	TracksPrompts bool   `msgpack:",omitempty"`
 }
 
 // ListPosition returns the store's position of the list of servers.
@@ -96,6 +101,9 @@
 	Slowdowns []ServerSlowdown      `msgpack:",omitempty"`
 	Config    *savoryrouting.Config `msgpack:",omitempty"`
 	Listing   *savoryroster.Listing `msgpack:",omitempty"`
+	// Quarantine is set if the other side is known to have another state of parts of
+	// prompts.
+	Quarantine *savoryquarantine.State `msgpack:",omitempty"`
 }
 
 var _ message = (*SyncState)(nil)
@@ -124,7 +132,14 @@
 		}
 	}
 	if n.Listing != nil {
-		return n.Listing.Check()
+		if err := n.Listing.Check(); err != nil {
+			return err
+		}
+	}
+	if n.Quarantine != nil {
+		if err := n.Quarantine.Check(); err != nil {
+			return fmt.Errorf("SyncState.Quarantine: %w", err)
+		}
 	}
 	return nil
 }
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savoryconn"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryverdict"
 )
@@ -85,6 +86,8 @@
 	startedAt time.Time
 	deadline  time.Time
 	body      []byte
+	// prompt is what the request shares with others.
+	prompt savoryquarantine.Prompt
 	// header holds the end-to-end fields of the caller's header. Each request
 	// to a backend server gets a copy.
 	header http.Header
@@ -167,6 +170,7 @@
 	if c.service == nil {
 		return savoryverdict.Unavailable("NoService", unavailableRetryDelay, "route %s has no service", c.route.Name)
 	}
+	c.prompt = promptOf(caller, c.service.Name)
 	c.deadline = c.startedAt.Add(c.route.Timeout)
 	if caller.Deadline > 0 && caller.Deadline < c.route.Timeout {
 		c.deadline = c.startedAt.Add(caller.Deadline)
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -41,6 +41,10 @@
 	// PromptParts are the IDs of the parts of the prompt that requests share, in order.
 	// The last part, which belongs to the request itself or to its session, is left out.
 	PromptParts []string
+	// OwnPart is the ID of the last part, or "".
+	OwnPart string
+	// Model is the model that the caller asks for, or "".
+	Model string
 }
 
 // Forward holds the values that the entry sets in the header of a request to a
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -80,6 +80,7 @@
 	reports          reportCache
 	streams          activeStreams
 	metrics          *metrics
+	quarantine       quarantine
 	inFlight         atomic.Int64
 	stopping         atomic.Bool
 	ordering         atomic.Bool
@@ -135,6 +136,7 @@
 	g.metrics = newMetrics(g.LogDropped)
 	g.view.zone = s.Zone
 	g.view.chainTables = nil
+	g.quarantine.tracker.Entry = s.Name
 	g.relay = relay{
 		self:  savorypeer.Entry{Address: s.Peers, Zone: s.Zone, Strength: s.Strength},
 		peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
@@ -229,6 +231,8 @@
 		return fmt.Errorf("open the listener for metrics: %w", err)
 	}
 	router := bunrouter.New()
+	router.GET("/quarantine", bunrouter.HTTPHandlerFunc(g.handleQuarantine))
+	router.POST("/quarantine/lift", bunrouter.HTTPHandlerFunc(g.handleLift))
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	g.tomb.Go(func() error { return g.serve(server, l) })
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -28,6 +28,8 @@
 	version          prometheus.Gauge
 	listAge          prometheus.Gauge
 	servers          *prometheus.GaugeVec
+	serverEnds       prometheus.Counter
+	promptParts      *prometheus.GaugeVec
 	logDropped       prometheus.CounterFunc
 }
 
@@ -58,12 +60,16 @@
 		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "servers", Help: "Backend servers by state.",
 		}, []string{"state"}),
+		serverEnds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_ends_total", Help: "Requests whose server ended before its answer went on."}),
+		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
+		}, []string{"state"}),
 		logDropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.orders,
-		m.dials, m.version, m.listAge, m.servers, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savoryconn"
+	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryverdict"
 )
 
@@ -44,6 +45,8 @@
 	// verdict is NotRun only if the server did not run the request.
 	verdict savoryverdict.Verdict
 	server  string
+	// begun is set if the server had begun a response that broke off.
+	begun bool
 }
 
 // servePlain sends the request to one server after another until one responds
@@ -52,6 +55,10 @@
 	tried := make(map[string]bool)
 	runs, refusals := 0, 0
 	for {
+		if err := c.admit(c.wait); err != nil {
+			c.failHeld(err)
+			return
+		}
 		now := c.g.now()
 		choice, err := c.g.view.chooseServer(c.service.Name, tried, now)
 		if err != nil {
@@ -62,6 +69,7 @@
 			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
 		}, "server chosen")
 		res := c.sendPlain(choice, tried, runs+1 < c.route.Attempts)
+		c.g.endAttempt(c.prompt)
 		if res.response != nil && res.err == nil && res.verdict == savoryverdict.Ran {
 			c.writeResponse(res)
 			return
@@ -71,6 +79,7 @@
 		case res.verdict != savoryverdict.NotRun:
 			c.mayHaveRun = true
 			runs++
+			c.checkPlainEnd(choice.server, res)
 		case !serverGone(res.err):
 			refusals++
 		}
@@ -84,6 +93,40 @@
 	}
 }
 
+// wait waits for d and reports whether the caller still waits.
+func (c *call) wait(d time.Duration) bool {
+	ctx, cancel := c.context()
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// failHeld ends a request that admit did not allow.
+func (c *call) failHeld(err error) {
+	refused := (*refusedPartError)(nil)
+	switch {
+	case errors.As(err, &refused):
+		c.fail(refused.verdict(c.mayHaveRun))
+	case c.mayHaveRun:
+		c.fail(savoryverdict.Wrap(err))
+	default:
+		c.fail(savoryverdict.Unavailable("Held", busyRetryDelay, "%v", err))
+	}
+}
+
+// checkPlainEnd checks whether a server has ended under a request of which it gave no whole
+// answer, if the request shares something with others.
+func (c *call) checkPlainEnd(s savoryroster.Server, res plainResult) {
+	if res.err == nil || len(c.prompt.Parts) == 0 || errors.Is(res.err, errAttemptTimeout) || errors.Is(res.err, errDeadline) || c.callerLeft() {
+		return
+	}
+	c.g.checkEnded(c.log, c.prompt, s.ID, s.Address, res.begun, nil)
+}
+
 // shouldRetry reports whether a failed request is sent to another server, and
 // takes the retry from the budget. runs and refusals are the numbers of
 // attempts that may have run the request and that were refused.
@@ -199,7 +242,7 @@
 		cancel()
 		_ = response.Close()
 		c.recordFailure(id, err)
-		return plainResult{err: err, verdict: savoryverdict.MayHaveRun, server: id}
+		return plainResult{err: err, verdict: savoryverdict.MayHaveRun, server: id, begun: true}
 	}
 	cancelOnClose(response, cancel)
 	if response.StatusCode >= http.StatusInternalServerError || promisesNotRun(response.StatusCode) {
@@ -324,6 +367,9 @@
 		c.fail(savoryverdict.Wrap(err))
 		return
 	}
+	if res.response.StatusCode < http.StatusInternalServerError && !res.response.EndsWithConnection() {
+		c.g.recordProgress(c.prompt)
+	}
 	c.g.metrics.firstEvent.WithLabelValues(string(c.route.Kind)).Observe(c.firstByteAt.Sub(c.startedAt).Seconds())
 	c.recordEnd("answered", nil)
 }
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -449,6 +449,7 @@
 		case <-g.relay.wake:
 			urgent = true
 		}
+		g.updateQuarantine()
 		for _, address := range g.relay.targets(g.now(), urgent) {
 			known, ok := g.relay.beginCall(address)
 			if !ok {
@@ -556,6 +557,8 @@
 		state.Faults = append(state.Faults, savorypeer.ServerFailure{Server: id, Age: age})
 	}
 	state.Slowdowns = g.view.recentSlowdowns(now)
+	state.Known.TracksPrompts = true
+	state.Known.PromptPrint, state.Quarantine = g.quarantineState(known)
 	return state
 }
 
@@ -582,6 +585,7 @@
 		}
 	}
 	g.view.applySlowdowns(s.Slowdowns, now, g.config())
+	changed = g.mergeQuarantine(s.Quarantine) || changed
 	if changed {
 		g.forwardToZone()
 	}
--- /dev/null
+++ b/savoryentry/savorygate/resend.go
@@ -0,0 +1,98 @@
+package savorygate
+
+// This file decides whether a stream is sent to another chain.
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// mayContinue reports whether the stream continues on another chain. It uses
+// the retry of reserveRetry, or else takes one from the budget.
+func (s *stream) mayContinue(a *attempt) bool {
+	if s.callerLeft() || !s.g.now().Before(s.deadline) || a.verdict != savoryverdict.NotRun && !s.route.Resumable {
+		return false
+	}
+	if s.g.quarantined(s.prompt) {
+		return false
+	}
+	late := !s.sendsLeft()
+	if late && !s.headerWritten {
+		return false
+	}
+	if s.retryTaken.CompareAndSwap(true, false) {
+		return true
+	}
+	if late && !s.waitWithCaller(lateSendPause) {
+		return false
+	}
+	if notSent(a.err) {
+		return true
+	}
+	return s.awaitRetry()
+}
+
+// awaitRetry takes a retry from the budget and reports whether there was one. A stream
+// that has begun waits for the budget: it could only be cut off.
+func (s *stream) awaitRetry() bool {
+	for !s.g.allowRetry(s.service.Name) {
+		if !s.headerWritten || !s.waitWithCaller(chainPollInterval) || s.g.quarantined(s.prompt) {
+			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
+			return false
+		}
+	}
+	return true
+}
+
+// reserveRetry reports whether the stream is still stalled and another chain, whose
+// first engine responds, could continue it now. If so, it takes a retry from the budget,
+// which would be lost to other streams if this one went on.
+func (a *attempt) reserveRetry(ctx context.Context, stalled func() bool) bool {
+	if !a.route.Resumable || !a.hasEvents() && !a.sendsLeft() || a.g.now().After(a.deadline) {
+		return false
+	}
+	choice, err := a.findChain(a.chainRequest(), a.g.now())
+	if err != nil {
+		return false
+	}
+	a.g.view.endChain(a.service.Name, choice.Chain, a.tokens)
+	first := choice.Chain[0]
+	if _, err := a.g.report(ctx, first.Address); err != nil {
+		if ctx.Err() == nil {
+			until := a.g.view.recordFailure(first.Server, errors.Is(err, syscall.ECONNREFUSED), a.g.now())
+			a.log.WithError(err).WithFields(log.Fields{"server": first.Server, "avoidedMs": until.Sub(a.g.now()).Milliseconds()}).Info("next engine does not respond, stalled stream stays on its chain")
+		}
+		return false
+	}
+	if !stalled() {
+		return false
+	}
+	if !a.retryTaken.Load() && !a.g.allowRetry(a.service.Name) {
+		a.log.WithField("reason", "retry budget used up").Info("stalled stream stays on its chain")
+		return false
+	}
+	a.retryTaken.Store(true)
+	return true
+}
+
+// recordEnded records that an engine ended under the request.
+func (s *stream) recordEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endsInRow++
+}
+
+// checkEnded checks whether the first engine has ended under the request, unless its
+// answer went on or it did not get the request.
+func (a *attempt) checkEnded() {
+	if a.verdict == savoryverdict.NotRun || a.wentOn() {
+		return
+	}
+	first := a.chain[0]
+	a.g.checkEnded(a.log, a.prompt, first.Server, first.Address, a.response != nil, a.recordEnded)
+}
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -160,6 +160,11 @@
 	if stalled == "" {
 		return false
 	}
+	if !a.hasEvents() {
+		if i := slices.IndexFunc(chain, func(h savorypath.Hop) bool { return h.Server == stalled }); i > 0 {
+			g.checkEnded(a.log, a.prompt, stalled, chain[i].Address, false, a.recordEnded)
+		}
+	}
 	now := g.now()
 	until := g.view.recordStall(stalled, chain.LayersOf(stalled), now)
 	a.log.WithFields(log.Fields{
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -62,8 +62,8 @@
 	// the response for the caller.
 	headerCopied bool
 
-	// mu guards sends, unsent, firstServers, avoided and eventCount, which the
-	// stallWatch of an attempt reads as well.
+	// mu guards sends, unsent, firstServers, avoided, eventCount and endsInRow, which the
+	// stallWatch of an attempt and the checks of ended engines use as well.
 	mu sync.Mutex
 	// unsent is the number of sends that never left this entry.
 	unsent int
@@ -74,6 +74,9 @@
 	avoided map[string]bool
 	// eventCount is the number of events passed on so far.
 	eventCount int
+	// endsInRow is the number of engines that ended under the request since its answer last
+	// went on.
+	endsInRow int
 	// retryTaken is set if reserveRetry took a retry from the budget that no
 	// send has used yet.
 	retryTaken atomic.Bool
@@ -133,6 +136,9 @@
 // caller does, since a refusal could no longer promise that the request has not run.
 func (s *stream) chooseChain() (savorypath.Choice, error) {
 	for polls := 0; ; polls++ {
+		if err := s.admit(s.waitWithCaller); err != nil {
+			return savorypath.Choice{}, err
+		}
 		now := s.g.now()
 		r := s.chainRequest()
 		choice, err := s.findChain(r, now)
@@ -294,6 +300,10 @@
 
 // failNoChain ends a stream for which no chain is available.
 func (s *stream) failNoChain(err error) {
+	if refused := (*refusedPartError)(nil); errors.As(err, &refused) {
+		s.fail(refused.verdict(s.mayHaveRun))
+		return
+	}
 	retryAfter := unavailableRetryDelay
 	if errors.Is(err, savorypath.ErrFull) {
 		retryAfter = s.memoryRetryDelay()
@@ -313,69 +323,6 @@
 	return max(busyRetryDelay, s.g.view.answerTime(s.service.Name))
 }
 
-// mayContinue reports whether the stream continues on another chain. It uses
-// the retry of reserveRetry, or else takes one from the budget.
-func (s *stream) mayContinue(a *attempt) bool {
-	if s.callerLeft() || !s.g.now().Before(s.deadline) {
-		return false
-	}
-	if a.verdict != savoryverdict.NotRun && !s.route.Resumable {
-		return false
-	}
-	late := !s.sendsLeft()
-	if late && !s.headerWritten {
-		return false
-	}
-	if s.retryTaken.CompareAndSwap(true, false) {
-		return true
-	}
-	if late && !s.waitWithCaller(lateSendPause) {
-		return false
-	}
-	if notSent(a.err) {
-		return true
-	}
-	for !s.g.allowRetry(s.service.Name) {
-		// A stream that has begun waits for the budget: it could only be cut off.
-		if !s.headerWritten || !s.waitWithCaller(chainPollInterval) {
-			s.log.WithField("reason", "retry budget used up").Info("request not sent again")
-			return false
-		}
-	}
-	return true
-}
-
-// reserveRetry reports whether the stream is still stalled and another chain, whose
-// first engine responds, could continue it now. If so, it takes a retry from the budget,
-// which would be lost to other streams if this one went on.
-func (a *attempt) reserveRetry(ctx context.Context, stalled func() bool) bool {
-	if !a.route.Resumable || !a.hasEvents() && !a.sendsLeft() || a.g.now().After(a.deadline) {
-		return false
-	}
-	choice, err := a.findChain(a.chainRequest(), a.g.now())
-	if err != nil {
-		return false
-	}
-	a.g.view.endChain(a.service.Name, choice.Chain, a.tokens)
-	first := choice.Chain[0]
-	if _, err := a.g.report(ctx, first.Address); err != nil {
-		if ctx.Err() == nil {
-			until := a.g.view.recordFailure(first.Server, errors.Is(err, syscall.ECONNREFUSED), a.g.now())
-			a.log.WithError(err).WithFields(log.Fields{"server": first.Server, "avoidedMs": until.Sub(a.g.now()).Milliseconds()}).Info("next engine does not respond, stalled stream stays on its chain")
-		}
-		return false
-	}
-	if !stalled() {
-		return false
-	}
-	if !a.retryTaken.Load() && !a.g.allowRetry(a.service.Name) {
-		a.log.WithField("reason", "retry budget used up").Info("stalled stream stays on its chain")
-		return false
-	}
-	a.retryTaken.Store(true)
-	return true
-}
-
 // finishFailed ends the request after its last failed attempt.
 func (s *stream) finishFailed(a *attempt) {
 	defer a.closeResponse()
@@ -407,9 +354,11 @@
 	errorBody []byte
 	// complete is set once the stream has ended normally.
 	complete bool
-	err      error
-	verdict  savoryverdict.Verdict
-	watch    *stallWatch
+	// attemptEvents is the number of events of this attempt.
+	attemptEvents int
+	err           error
+	verdict       savoryverdict.Verdict
+	watch         *stallWatch
 }
 
 // mayPassResponse reports whether the server's error response may be passed on
@@ -434,6 +383,7 @@
 	a.watch = newStallWatch(ctx, a)
 	defer func() {
 		a.watch.stop()
+		a.g.endAttempt(a.prompt)
 		a.g.view.endChain(a.service.Name, a.watch.currentChain(), a.tokens)
 	}()
 	first := a.chain[0]
@@ -476,13 +426,14 @@
 	if failure != nil && failure.NotSent() {
 		a.recordUnsent()
 	}
-	if a.callerLeft() || errors.Is(err, errDeadline) {
+	if a.callerLeft() || errors.Is(err, errDeadline) || errors.Is(err, errQuarantined) {
 		return
 	}
 	a.log.WithError(err).WithFields(log.Fields{
 		"path": a.watch.currentChain().String(), "events": a.eventCount, "sinceEventMs": a.g.now().Sub(a.lastEventAt).Milliseconds(), "verdict": string(a.verdict),
 		"headArrived": a.response != nil, "parts": strings.Join(a.caller.PromptParts, ","),
 	}).Info("chain failed")
+	a.checkEnded()
 	switch {
 	case failure != nil && failure.NotSent():
 		a.g.view.recordFailure(a.chain[0].Server, failure.ServerGone(), a.g.now())
@@ -570,9 +521,7 @@
 			a.maxGap = max(a.maxGap, now.Sub(a.lastEventAt))
 		}
 		a.lastEventAt = now
-		a.mu.Lock()
-		a.eventCount += n
-		a.mu.Unlock()
+		a.recordEvents(n)
 		a.watch.recordEvent(now)
 		if a.eventCount == n {
 			for _, h := range a.watch.currentChain() {
@@ -586,8 +535,30 @@
 	return a.rc.Flush()
 }
 
+// recordEvents counts events. An answer that goes on is proof that its prompt ends no
+// engine.
+func (a *attempt) recordEvents(n int) {
+	wentOn := a.wentOn()
+	a.attemptEvents += n
+	a.mu.Lock()
+	a.eventCount += n
+	if a.wentOn() {
+		a.endsInRow = 0
+	}
+	a.mu.Unlock()
+	if a.wentOn() && !wentOn {
+		a.g.recordProgress(a.prompt)
+	}
+}
+
+// wentOn reports whether the answer of this attempt went on after its begin.
+func (a *attempt) wentOn() bool { return a.attemptEvents >= progressEvents }
+
 // finish ends the stream as complete.
 func (a *attempt) finish() {
+	if a.attemptEvents > 0 && !a.response.EndsWithConnection() {
+		a.g.recordProgress(a.prompt)
+	}
 	if !a.headerWritten {
 		// A stream without any event is complete too.
 		a.headerWritten = true
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -317,6 +317,14 @@
 	return v.recordSharedFailure(id, now)
 }
 
+// born returns when the listed incarnation of a server started, zero if it is not listed.
+func (v *view) born(id string) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, _ := v.roster.Server(id)
+	return s.Born
+}
+
 // recordRefusal records that a server does not take a request. It reports whether
 // the server was not avoided before.
 func (v *view) recordRefusal(id string, now time.Time) bool {
