savorygate: at most three engines in a row end under one stream

A stream whose own part, or whose body, ends engines shares nothing with others, so no part can be blamed.

A stream is not sent again after three ended engines in a row whose answers did not go on for eight events.

--- a/savoryentry/savorygate/quarantine.go
+++ b/savoryentry/savorygate/quarantine.go
@@ -30,6 +30,9 @@
 	// progressEvents is the number of events after which an answer goes on. Servers end
 	// when they begin to answer on a part, at the latest within a few events.
 	progressEvents = 8
+	// maxEndsPerRequest is the number of servers in a row that may end under one request,
+	// none of which went on with its answer. The cause may be in the request itself.
+	maxEndsPerRequest = 3
 	// endCheckWait is how long a failed request waits for the check whether its server
 	// has ended. A refused connection takes less, also in another zone.
 	endCheckWait = 60 * time.Millisecond
--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -18,7 +18,7 @@
 	if s.callerLeft() || !s.g.now().Before(s.deadline) || a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
-	if s.g.quarantined(s.prompt) {
+	if s.g.quarantined(s.prompt) || s.endedTooMany() {
 		return false
 	}
 	late := !s.sendsLeft()
@@ -87,6 +87,18 @@
 	s.endsInRow++
 }
 
+// endedTooMany reports whether maxEndsPerRequest engines have ended under the request.
+func (s *stream) endedTooMany() bool {
+	s.mu.Lock()
+	n := s.endsInRow
+	s.mu.Unlock()
+	if n < maxEndsPerRequest {
+		return false
+	}
+	s.log.WithFields(log.Fields{"reason": "engines ended under the request", "ends": n, "parts": partIDs(s.prompt)}).Info("request not sent again")
+	return true
+}
+
 // checkEnded checks whether the first engine has ended under the request, unless its
 // answer went on or it did not get the request.
 func (a *attempt) checkEnded() {
