savorygate: a stream that ends with its connection may have broken off

Callers got a complete, empty stream when an engine closed the connection in order before the first event, and a complete stream of 10 events out of 20 when the engine ended between two events.

Cause: the end of the connection between two events counted as the end of the stream. Now such a stream has broken off if the attempt has no event, or if the process of the engine has ended; a continued stream without a further event is complete once two engines agree. A stream that ends inside an event was treated as broken off before.

TestStreamThatEndsWithConnection failed before for ClosesEarly (0 of 20 events) and ClosesAndEnds (10 of 20).

--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -108,3 +108,23 @@
 	first := a.chain[0]
 	a.g.checkEnded(a.log, a.prompt, first.Server, first.Address, a.response != nil, a.recordEnded)
 }
+
+// minEmptyEnds is the number of engines that must end a continued stream without a further
+// event, each with its connection, until it counts as complete.
+const minEmptyEnds = 2
+
+// brokenOff reports whether a stream whose bytes end between two events has broken off. If
+// it ends with its connection, the bytes alone do not tell: it has if this attempt has no
+// event, or if the process of the engine has ended.
+func (a *attempt) brokenOff() bool {
+	if !a.response.EndsWithConnection() {
+		return false
+	}
+	if a.attemptEvents == 0 {
+		a.emptyEnds++
+		return !a.hasEvents() || a.emptyEnds < minEmptyEnds
+	}
+	first := a.chain[0]
+	_, err := a.g.reportSince(a.watch.ctx, first.Address, a.g.now())
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -70,6 +70,9 @@
 	// firstServers are the addresses of the first engines of the chains that may
 	// have run the request, without those that are known to have ended.
 	firstServers map[string]netip.AddrPort
+	// emptyEnds is the number of attempts that ended with their connection and without an
+	// event.
+	emptyEnds int
 	// avoided are the engines that failed for this request.
 	avoided map[string]bool
 	// eventCount is the number of events passed on so far.
@@ -491,7 +494,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) && !a.events.hasPartial() {
+		if errors.Is(err, io.EOF) && !a.events.hasPartial() && !a.brokenOff() {
 			a.finish()
 			return
 		}
