savorygate: event streams of services without layers may break off likewise

A service without layers that closed the connection of a stream before the first event or inside one passed as complete: an empty body, or one that ends in the middle of an event. Such a response counts as broken off now, and is sent to another server if the route allows it; a large one that has begun is cut. TestPlainStreamThatEndsWithConnection failed before for ClosesEarly and ClosesInEvent.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 
 	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryverdict"
 )
 
@@ -229,6 +231,9 @@
 	res := plainResult{response: response, server: id, verdict: savoryverdict.Ran}
 	res.bodyStart, err = io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
 	res.complete = len(res.bodyStart) <= maxBufferedBytes
+	if err == nil && res.complete && !info.NotRun && c.brokenOffAfter(response, res.bodyStart) {
+		err = io.ErrUnexpectedEOF
+	}
 	if info.NotRun {
 		c.recordRefusal(id, response.StatusCode, info)
 		cancelOnClose(response, cancel)
@@ -258,6 +263,13 @@
 	return res
 }
 
+// brokenOffAfter reports whether a whole event stream that ends with its connection has
+// broken off: it ends inside an event or has none. end is the end of its body.
+func (c *call) brokenOffAfter(response *savoryconn.Response, end []byte) bool {
+	return c.route.Kind == savoryrouting.Streaming && response.StatusCode == http.StatusOK && response.EndsWithConnection() &&
+		!bytes.HasSuffix(end, eventSeparator)
+}
+
 // errAttemptTimeout is the cause of the end of an attempt whose server is too
 // slow for a repeatable request.
 var errAttemptTimeout = errors.New("the server did not respond within its fraction of the remaining time")
@@ -361,7 +373,7 @@
 	c.firstByteAt = c.g.now()
 	_, err := c.w.Write(res.bodyStart)
 	if err == nil && !res.complete {
-		err = c.copyBody(res.response)
+		err = c.copyBody(res.response, slices.Clone(res.bodyStart[len(res.bodyStart)-len(eventSeparator):]))
 	}
 	if err != nil {
 		c.fail(savoryverdict.Wrap(err))
@@ -374,12 +386,14 @@
 	c.recordEnd("answered", nil)
 }
 
-// copyBody copies the rest of a large body to the caller as it arrives.
-func (c *call) copyBody(a *savoryconn.Response) error {
+// copyBody copies the rest of a large body to the caller as it arrives. end is the end of
+// what was written before.
+func (c *call) copyBody(a *savoryconn.Response, end []byte) error {
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := a.Read(buf)
 		if n > 0 {
+			end = append(end[max(0, len(end)-len(eventSeparator)):], buf[max(0, n-len(eventSeparator)):n]...)
 			if _, werr := io.Copy(c.w, bytes.NewReader(buf[:n])); werr != nil {
 				return werr
 			}
@@ -387,6 +401,9 @@
 				return ferr
 			}
 		}
+		if errors.Is(err, io.EOF) && c.brokenOffAfter(a, end) {
+			return io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
