savorygate: quarantined parts of prompts are kept in the store

TestQuarantineOutlivesAllEntries fails with the reading disabled. Beside it tests of an entry that starts later, of streams that come together, and of the operators' list.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -79,8 +79,8 @@
 
 // followList reads the list of servers under the same conditions.
 func (g *Gate) followList() error {
-	var snapshot listSnapshotState
-	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshot) })
+	var snapshots listSnapshots
+	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshots) })
 }
 
 // pollStore calls read at the interval of the readings while this entry is the
@@ -171,8 +171,11 @@
 	return known.ListAge
 }
 
+// listSnapshots are the snapshots that are written beside readings of the list.
+type listSnapshots struct{ list, quarantine snapshotState }
+
 // readList reads the list of servers.
-func (g *Gate) readList(snapshot *listSnapshotState) error {
+func (g *Gate) readList(snapshots *listSnapshots) error {
 	_, ctx, stop := g.startTransfer(storeTimeout, maxListBytes)
 	defer stop()
 	readAt := g.now()
@@ -195,11 +198,13 @@
 		l.Servers = append(l.Servers, s)
 	}
 	g.loadListSnapshot(ctx)
+	g.loadQuarantine(ctx)
 	if g.applyList(l, reading{id: rand.Uint64(), at: readAt}, "store") {
 		g.wakeSync()
 	}
 	if g.relay.storeRank(g.now()) < maxStoreReaders {
-		g.storeListSnapshot(snapshot)
+		g.storeListSnapshot(&snapshots.list)
+		g.storeQuarantine(&snapshots.quarantine)
 	}
 	return nil
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -23,6 +23,7 @@
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryworld"
@@ -482,5 +483,12 @@
 // Loads returns this entry's requests in flight at engines.
 func (g *Gate) Loads() []savorypath.Load { return g.view.ownLoads(g.now()) }
 
+// Quarantined returns the parts of prompts that are quarantined.
+func (g *Gate) Quarantined() []savoryquarantine.Blame {
+	g.quarantine.mu.Lock()
+	defer g.quarantine.mu.Unlock()
+	return g.quarantine.tracker.Blames(g.now())
+}
+
 // InFlight returns the number of requests in flight.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -229,11 +229,7 @@
 	}
 	info := c.g.Dialect.ReadResponse(response.StatusCode, response.Header)
 	res := plainResult{response: response, server: id, verdict: savoryverdict.Ran}
-	res.bodyStart, err = io.ReadAll(io.LimitReader(response, maxBufferedBytes+1))
-	res.complete = len(res.bodyStart) <= maxBufferedBytes
-	if err == nil && res.complete && !info.NotRun && c.brokenOffAfter(response, res.bodyStart) {
-		err = io.ErrUnexpectedEOF
-	}
+	err = c.readStart(&res)
 	if info.NotRun {
 		c.recordRefusal(id, response.StatusCode, info)
 		cancelOnClose(response, cancel)
@@ -263,6 +259,18 @@
 	return res
 }
 
+// readStart reads the beginning of the response's body, or all of it if it is not large. An
+// event stream that broke off is an error.
+func (c *call) readStart(res *plainResult) error {
+	var err error
+	res.bodyStart, err = io.ReadAll(io.LimitReader(res.response, maxBufferedBytes+1))
+	res.complete = len(res.bodyStart) <= maxBufferedBytes
+	if err == nil && res.complete && c.brokenOffAfter(res.response, res.bodyStart) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // brokenOffAfter reports whether a whole event stream that ends with its connection has
 // broken off: it ends inside an event or has none. end is the end of its body.
 func (c *call) brokenOffAfter(response *savoryconn.Response, end []byte) bool {
--- a/savoryentry/savorygate/quarantine.go
+++ b/savoryentry/savorygate/quarantine.go
@@ -49,6 +49,8 @@
 type quarantine struct {
 	mu      sync.Mutex
 	tracker savoryquarantine.Tracker
+	// loaded is set once the snapshot in the store was read, or if there can be none.
+	loaded bool
 }
 
 // promptOf returns what a request shares with others. It is empty for a request whose
@@ -288,9 +290,7 @@
 // handleQuarantine lists the quarantined parts.
 func (g *Gate) handleQuarantine(w http.ResponseWriter, _ *http.Request) {
 	now := g.now()
-	g.quarantine.mu.Lock()
-	blames := g.quarantine.tracker.Blames(now)
-	g.quarantine.mu.Unlock()
+	blames := g.Quarantined()
 	all := make([]quarantinedPart, 0, len(blames))
 	for _, b := range blames {
 		all = append(all, quarantinedPart{
