savorynode: at most three engines in a row end under one completion

A completion that ends each engine which answers on it was sent to 6 engines before its answer had begun, and to 9 in 4.5 s after: a begun answer is bound only by 30 s without a token.

--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -93,11 +93,17 @@
 	stateHolders []string
 	admission    *admission
 	// mayHaveRun means that an attempt may have run.
-	mayHaveRun   bool
-	startedAt    time.Time
-	lastTokenAt  time.Time
-	failedAt     time.Time
-	finishReason string
+	mayHaveRun bool
+	// lastVerdict is the verdict of the last attempt, and attemptTokens the number of its
+	// tokens. endsInRow is the number of attempts since the answer last went on during which
+	// an engine ended.
+	lastVerdict   savoryverdict.Verdict
+	attemptTokens int
+	endsInRow     int
+	startedAt     time.Time
+	lastTokenAt   time.Time
+	failedAt      time.Time
+	finishReason  string
 }
 
 func (p *pipelineRunner) serveCompletion(w http.ResponseWriter, r *http.Request, cl *call) error {
@@ -203,6 +209,9 @@
 				return callerLeftError(err)
 			}
 			p.recordFailure(g, choice, err)
+			if !p.recordEnded(ctx, g, choice.Chain) {
+				return p.failureError(g, err)
+			}
 		}
 		if !p.awaitRetry(ctx, g, attempt, err) {
 			if callerLeft(ctx) {
@@ -290,6 +299,7 @@
 		p.callers.tables.chains.with(func(t *savorychain.Table) { t.RecordFinished(flight) })
 	}()
 	number := g.sequence.BeginAttempt(choice.Chain)
+	g.attemptTokens = 0
 	run := &savoryengine.Run{
 		Request: g.id, Attempt: number, Model: g.c.pipeline.Model, Version: g.c.pipeline.Version,
 		Layers: g.c.pipeline.Layers, Chain: choice.Chain, Prompt: g.c.prompt,
@@ -340,6 +350,7 @@
 		return fmt.Errorf("%w: %w", errInvalidToken, err)
 	default:
 	}
+	g.attemptTokens++
 	g.admission.recordToken()
 	p.observe(g, t)
 	if err := g.onToken(t); err != nil {
@@ -394,7 +405,11 @@
 	if errors.As(err, &fault) {
 		server = fault.Server
 	}
-	if fault == nil || fault.Verdict != savoryverdict.NotRun {
+	g.lastVerdict = savoryverdict.MayHaveRun
+	if fault != nil {
+		g.lastVerdict = fault.Verdict
+	}
+	if g.lastVerdict != savoryverdict.NotRun {
 		g.mayHaveRun = true
 	}
 	g.log.WithError(err).WithFields(log.Fields{
--- a/savorystand/savorymodel/engine.go
+++ b/savorystand/savorymodel/engine.go
@@ -87,6 +87,10 @@
 	WrongRequestID bool
 	// EndStreamEarly ends a stream after one token, without a finish reason.
 	EndStreamEarly bool
+	// EndOnPrompt sets AbortConnections when the engine has sent EndAfter tokens of an
+	// answer on a prompt that contains this text, as an engine does whose process ends.
+	EndOnPrompt string
+	EndAfter    int
 }
 
 // SetFaults replaces the injected faults.
@@ -104,6 +108,9 @@
 	e.leaving = leaving
 }
 
+// Ended reports whether AbortConnections is set.
+func (e *Engine) Ended() bool { return e.currentFaults().AbortConnections }
+
 // Tokens returns the number of tokens that the engine has run, including prompt
 // tokens.
 func (e *Engine) Tokens() int64 {
@@ -183,7 +190,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	flush(w)
-	for index := len(run.Emitted); index < run.MaxTokens; index++ {
+	first := len(run.Emitted)
+	for index := first; index < run.MaxTokens; index++ {
+		if f := e.currentFaults(); f.EndOnPrompt != "" && index == first+f.EndAfter && strings.Contains(run.Prompt, f.EndOnPrompt) {
+			e.SetFaults(Faults{AbortConnections: true})
+			panic(http.ErrAbortHandler)
+		}
 		event := e.nextToken(ctx, &run, index)
 		if event == nil {
 			panic(http.ErrAbortHandler)
