savorynode: beginnings of prompts that end engines are refused

Completions with one beginning of their prompts, at any of three entries, ended 71 engines in 9 s, 39 of them later than 3 s after the fifth; 95 of 179 sound completions failed. The entry knows the beginning (the fingerprint that chooses engines with cached state) and did not use it.

The same package decides. The evidence travels in offers, as leaving marks do, and a heartbeat with another fingerprint fetches it. Golden messages recorded anew for the new optional fields.

--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -19,6 +19,14 @@
 
 func TestGolden(t *testing.T) {
 	part := savoryquarantine.Part{Service: "timber", Model: "m", ID: "5c1e07a2"}
+	quarantine := &savoryquarantine.State{
+		Ends: []savoryquarantine.End{{
+			Server: savoryquarantine.Server{ID: "oak-1", Born: time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC), Address: netip.MustParseAddrPort("10.0.0.1:8001")},
+			Age:    time.Second, Parts: []savoryquarantine.Implicated{{Part: part, Begun: true, Depth: 1, Owners: []uint64{7}}},
+		}},
+		Sound:  []savoryquarantine.Sound{{Part: part, Age: time.Second}},
+		Blames: []savoryquarantine.Blame{{Part: part, Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second}},
+	}
 	// Guards against a change of the bytes that peers exchange, such as by a
 	// renamed field without a tag or an enum with another text. A process of
 	// another build would read zero values.
@@ -41,11 +49,11 @@
 		{Name: "configPart", Value: &ConfigPart{Version: 9, Digest: 99, Size: 65540, Offset: 65536, Body: []byte("part")}},
 		{Name: "hello", Value: &Heartbeat{
 			Address: address, Zone: "north-1", Region: "north", Draining: true, Revision: 9, MarkDigest: 99,
-			Demands: []savorylimit.Demand{{Customer: "joiner", Rate: 2.5}},
+			Demands: []savorylimit.Demand{{Customer: "joiner", Rate: 2.5}}, PromptPrint: 97,
 		}},
-		{Name: "offer", Value: &Offer{Revision: 9, Marks: marks, From: address}},
-		{Name: "ack", Value: &Ack{Revision: 9, MarkDigest: 99}},
-		{Name: "fetch", Value: &Fetch{Config: true, Since: 8, Marks: true, Buckets: []savoryconfig.BucketID{bucket.ID}}},
+		{Name: "offer", Value: &Offer{Revision: 9, Marks: marks, Quarantine: quarantine, From: address}},
+		{Name: "ack", Value: &Ack{Revision: 9, MarkDigest: 99, PromptPrint: 97}},
+		{Name: "fetch", Value: &Fetch{Config: true, Since: 8, Marks: true, Quarantine: true, Buckets: []savoryconfig.BucketID{bucket.ID}}},
 		{Name: "state", Value: &State{
 			Steps: []savoryconfig.Step{{
 				Delta: savoryconfig.Delta{Base: 8, AcceptedAt: at, Submission: "s1", Sections: []savoryconfig.SectionDelta{{
@@ -54,22 +62,15 @@
 				}}},
 				Buckets: buckets,
 			}},
-			Root: []byte("root"), Buckets: buckets, Marks: marks,
+			Root: []byte("root"), Buckets: buckets, Marks: marks, Quarantine: quarantine,
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
 			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
-			Faults:    []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
-			Slowdowns: []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
-			Quarantine: &savoryquarantine.State{
-				Ends: []savoryquarantine.End{{
-					Server: savoryquarantine.Server{ID: "oak-1", Born: time.Date(2026, 3, 4, 5, 6, 7, 8000000, time.UTC), Address: netip.MustParseAddrPort("10.0.0.1:8001")},
-					Age:    time.Second, Parts: []savoryquarantine.Implicated{{Part: part, Begun: true, Depth: 1, Owners: []uint64{7}}},
-				}},
-				Sound:  []savoryquarantine.Sound{{Part: part, Age: time.Second}},
-				Blames: []savoryquarantine.Blame{{Part: part, Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second}},
-			},
+			Faults:     []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
+			Slowdowns:  []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
+			Quarantine: quarantine,
 			Config: &savoryrouting.Config{
 				Version: 9,
 				Routes: []savoryrouting.Route{{
--- a/savorycore/savorypeer/message.go
+++ b/savorycore/savorypeer/message.go
@@ -17,6 +17,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savoryquarantine"
 )
 
 const (
@@ -37,6 +38,8 @@
 	Revision   uint64               `msgpack:",omitempty"`
 	MarkDigest uint64               `msgpack:",omitempty"`
 	Demands    []savorylimit.Demand `msgpack:",omitempty"`
+	// PromptPrint is the fingerprint of what the sender knows of prompts that end engines.
+	PromptPrint uint64 `msgpack:",omitempty"`
 }
 
 // Peer returns the sender.
@@ -64,6 +67,8 @@
 	// Revision is the revision in force at the sender.
 	Revision uint64              `msgpack:",omitempty"`
 	Marks    []savorymember.Mark `msgpack:",omitempty"`
+	// Quarantine is what the sender knows of prompts that end engines, if that is new.
+	Quarantine *savoryquarantine.State `msgpack:",omitempty"`
 	// From is the sender, from which the receiver can fetch the state that it
 	// lacks.
 	From netip.AddrPort
@@ -74,13 +79,19 @@
 	if !o.From.IsValid() {
 		return errors.New("Offer.From: is not an IP address with a port")
 	}
+	if o.Quarantine != nil {
+		if err := o.Quarantine.Check(); err != nil {
+			return fmt.Errorf("Offer.Quarantine: %w", err)
+		}
+	}
 	return checkMarks(o.Marks)
 }
 
 // Ack answers an Offer with the state in force at the receiver after the Offer.
 type Ack struct {
-	Revision   uint64
-	MarkDigest uint64
+	Revision    uint64
+	MarkDigest  uint64
+	PromptPrint uint64 `msgpack:",omitempty"`
 }
 
 // Check accepts every Ack.
@@ -93,6 +104,8 @@
 	Since  uint64 `msgpack:",omitempty"`
 	// Marks requests all marks.
 	Marks bool `msgpack:",omitempty"`
+	// Quarantine requests what the receiver knows of prompts that end engines.
+	Quarantine bool `msgpack:",omitempty"`
 	// Buckets lists the requested buckets.
 	Buckets []savoryconfig.BucketID `msgpack:",omitempty"`
 }
@@ -114,6 +127,8 @@
 	Root    []byte                `msgpack:",omitempty"`
 	Buckets []savoryconfig.Bucket `msgpack:",omitempty"`
 	Marks   []savorymember.Mark   `msgpack:",omitempty"`
+	// Quarantine is what the sender knows of prompts that end engines.
+	Quarantine *savoryquarantine.State `msgpack:",omitempty"`
 }
 
 // Check returns an error if the message is not well formed.
@@ -131,6 +146,11 @@
 			return err
 		}
 	}
+	if s.Quarantine != nil {
+		if err := s.Quarantine.Check(); err != nil {
+			return fmt.Errorf("State.Quarantine: %w", err)
+		}
+	}
 	return checkMarks(s.Marks)
 }
 
--- a/savoryentry/savorynode/ended.go
+++ b/savoryentry/savorynode/ended.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -31,7 +32,14 @@
 	case g.attemptTokens >= progressTokens:
 		g.endsInRow = 0
 		return true
-	case g.lastVerdict == savoryverdict.NotRun || !p.anyEnded(ctx, chain):
+	case g.lastVerdict == savoryverdict.NotRun:
+		return true
+	}
+	ended := p.endedHops(ctx, chain)
+	for _, hop := range ended {
+		p.gossip.recordEngineEnd(g.c, hop, g.attemptTokens > 0)
+	}
+	if len(ended) == 0 {
 		return true
 	}
 	g.endsInRow++
@@ -42,21 +50,25 @@
 	return false
 }
 
-// anyEnded reports whether an engine of a chain accepts no call on a new connection, or
-// closes it.
-func (p *pipelineRunner) anyEnded(ctx context.Context, chain []savoryengine.Hop) bool {
+// endedHops returns the hops whose engine accepts no call on a new connection, or closes
+// it.
+func (p *pipelineRunner) endedHops(ctx context.Context, chain []savoryengine.Hop) []savoryengine.Hop {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	ended := make(chan bool, len(chain))
-	for _, hop := range chain {
-		go func() {
+	results := make([]bool, len(chain))
+	var checks sync.WaitGroup
+	for i, hop := range chain {
+		checks.Go(func() {
 			_, err := p.probes.Status(ctx, hop.Address)
-			ended <- err != nil && ctx.Err() == nil
-		}()
+			results[i] = err != nil && ctx.Err() == nil
+		})
 	}
-	found := false
-	for range chain {
-		found = <-ended || found
+	checks.Wait()
+	var ended []savoryengine.Hop
+	for i, hop := range chain {
+		if results[i] {
+			ended = append(ended, hop)
+		}
 	}
-	return found
+	return ended
 }
--- a/savoryentry/savorynode/gossip.go
+++ b/savoryentry/savorynode/gossip.go
@@ -16,6 +16,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryvmlist"
 	"savorycart.example/savorycore/savoryworld"
@@ -113,6 +114,7 @@
 func (s *gossiper) startHeartbeats(t *tomb.Tomb) {
 	now := s.now()
 	s.tables.expireMarks(now)
+	s.announceQuarantine(false)
 	own := s.ownHeartbeat(now)
 	var targets []savorymember.Peer
 	live := 0
@@ -135,7 +137,7 @@
 	_, digest := s.tables.allMarks(now)
 	own := &savorypeer.Heartbeat{
 		Address: s.self.Address, Zone: s.self.Zone, Region: s.self.Region,
-		Draining: s.draining.Load(), Revision: s.keeper.revision(), MarkDigest: digest,
+		Draining: s.draining.Load(), Revision: s.keeper.revision(), MarkDigest: digest, PromptPrint: s.quarantinePrint(),
 	}
 	s.tables.limits.with(func(l *limitState) { own.Demands = l.limiter.AnnounceDemands(now) })
 	return own
@@ -170,6 +172,7 @@
 			s.receiveMarks(ctx, state.Marks)
 		}
 	}
+	s.fetchQuarantine(ctx, received.PromptPrint, received.Address)
 	s.fetchConfig(ctx, received.Revision, received.Address)
 }
 
@@ -292,10 +295,13 @@
 	s.tables.members.with(func(m *memberState) { targets = m.table.GossipTargets(origin, s.now()) })
 	for _, peer := range targets {
 		s.pool.submit(func() {
-			if _, err := s.peers.Offer(context.WithoutCancel(ctx), peer.Address, offer); err != nil {
-				s.tables.members.with(func(m *memberState) { m.table.RecordFailure(peer.Address, s.now()) })
-				s.log.WithError(err).WithField("peer", peer.Address).Warn("offer not acknowledged")
+			ack, err := s.peers.Offer(context.WithoutCancel(ctx), peer.Address, offer)
+			if err == nil {
+				s.receiveAck(context.WithoutCancel(ctx), ack, offer, peer)
+				return
 			}
+			s.tables.members.with(func(m *memberState) { m.table.RecordFailure(peer.Address, s.now()) })
+			s.log.WithError(err).WithField("peer", peer.Address).Warn("offer not acknowledged")
 		})
 	}
 }
@@ -307,7 +313,8 @@
 	// The called entry fetches newer state as well, because in a pair of entries
 	// it may always be the same one that calls.
 	_, digest := s.tables.allMarks(s.now())
-	if received.Revision > s.keeper.revision() || received.MarkDigest != digest {
+	if received.Revision > s.keeper.revision() || received.MarkDigest != digest ||
+		received.PromptPrint != 0 && received.PromptPrint != s.quarantinePrint() {
 		// Only the calls of a transfer have a timeout.
 		s.pool.submit(func() { s.fetchNewer(s.untilStop(), received) })
 	}
@@ -316,11 +323,12 @@
 
 func (s *gossiper) handleOffer(ctx context.Context, offer *savorypeer.Offer) (*savorypeer.Ack, error) {
 	s.receiveMarks(ctx, offer.Marks)
+	s.mergeQuarantine(offer.Quarantine)
 	if offer.Revision > s.keeper.revision() {
 		s.pool.submit(func() { s.fetchConfig(s.untilStop(), offer.Revision, offer.From) })
 	}
 	_, digest := s.tables.allMarks(s.now())
-	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest}, nil
+	return &savorypeer.Ack{Revision: s.keeper.revision(), MarkDigest: digest, PromptPrint: s.quarantinePrint()}, nil
 }
 
 func (s *gossiper) handleFetch(_ context.Context, fetch *savorypeer.Fetch) (*savorypeer.State, error) {
@@ -333,6 +341,9 @@
 	if fetch.Marks {
 		state.Marks, _ = s.tables.allMarks(s.now())
 	}
+	if fetch.Quarantine {
+		s.tables.quarantine.with(func(t *savoryquarantine.Tracker) { state.Quarantine = t.State(s.now()) })
+	}
 	state.Buckets = limitBytes(s.keeper.heldBuckets(fetch.Buckets), maxStateBytes)
 	return state, nil
 }
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -31,6 +31,7 @@
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savorytls"
 	"savorycart.example/savorycore/savoryvmlist"
@@ -327,6 +328,7 @@
 	if n.loaders.peers != nil {
 		client.Credentials = credentials.NewTLS(n.loaders.peers.ClientConfig())
 	}
+	n.tables.quarantine.with(func(t *savoryquarantine.Tracker) { t.Entry = n.self().Name() })
 	return &gossiper{
 		self: n.self(), log: n.Log, now: n.Now, tables: n.tables, keeper: n.keeper, config: config, store: store,
 		entryVMs:  n.listClient(savoryvmlist.Filter{Role: savoryvmlist.RoleEntry}),
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -196,13 +196,21 @@
 // is allowed.
 func (p *pipelineRunner) generate(ctx context.Context, g *generation) error {
 	for attempt := 1; ; attempt++ {
+		if err := p.admitPrompt(ctx, g); err != nil {
+			if callerLeft(ctx) {
+				return callerLeftError(err)
+			}
+			return p.failureError(g, err)
+		}
 		choice, err := p.choose(g, attempt)
 		if err != nil && !g.begun() {
 			return p.failureError(g, err)
 		}
 		if err == nil {
 			err = p.runAttempt(ctx, g, choice, attempt)
+			p.gossip.endAttempt(g.c)
 			if err == nil {
+				p.gossip.recordAnswerProgress(g.c)
 				return nil
 			}
 			if errors.Is(err, errCallerLeft) || callerLeft(ctx) {
@@ -350,7 +358,9 @@
 		return fmt.Errorf("%w: %w", errInvalidToken, err)
 	default:
 	}
-	g.attemptTokens++
+	if g.attemptTokens++; g.attemptTokens == progressTokens {
+		p.gossip.recordAnswerProgress(g.c)
+	}
 	g.admission.recordToken()
 	p.observe(g, t)
 	if err := g.onToken(t); err != nil {
--- a/savoryentry/savorynode/tables.go
+++ b/savoryentry/savorynode/tables.go
@@ -15,6 +15,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryworld"
 )
 
@@ -49,6 +50,8 @@
 	members guarded[memberState]
 	limits  guarded[limitState]
 	chains  guarded[savorychain.Table]
+	// quarantine is used alone, without another lock.
+	quarantine guarded[savoryquarantine.Tracker]
 }
 
 // chooseChain returns the best chain for req at now.
