savoryquarantine: a part quarantined for one model needs one end for another; crowded ends

One end is enough now if the same part is quarantined elsewhere; the records stay separate, since other software may bear the part.

A part with a high ID was never quarantined while many others waited.

--- a/savorycore/savoryquarantine/ends.go
+++ b/savorycore/savoryquarantine/ends.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // end is the end of one server.
@@ -72,7 +74,7 @@
 }
 
 // trim removes parts above maxParts. All entries keep the same ones: those on which an
-// answer had begun come first.
+// answer had begun come first, the others in an order that differs from end to end.
 func (e *end) trim() {
 	if len(e.parts) <= maxParts {
 		return
@@ -84,13 +86,16 @@
 			}
 			return 1
 		}
-		return compareParts(a, b)
+		return cmp.Or(cmp.Compare(e.rank(a), e.rank(b)), compareParts(a, b))
 	})
 	for _, part := range parts[maxParts:] {
 		delete(e.parts, part)
 	}
 }
 
+// rank returns the position of a part in the order of this end.
+func (e *end) rank(part Part) uint64 { return xxhash.Sum64String(e.server.ID + " " + part.String()) }
+
 // summarize sums up the ends by part.
 func (t *Tracker) summarize() {
 	byPart := make(map[Part][]*end)
@@ -101,13 +106,24 @@
 	}
 	t.suspects = make(map[Part]*suspect, len(byPart))
 	for part, ends := range byPart {
-		t.suspects[part] = sum(part, ends)
+		t.suspects[part] = sum(part, ends, t.blamedElsewhere(part))
 	}
 	maps.DeleteFunc(t.tries, func(part Part, _ try) bool { return t.suspects[part] == nil })
 }
 
-// sum sums up the ends under a part, in the order in which this entry learned of them.
-func sum(part Part, ends []*end) *suspect {
+// blamedElsewhere reports whether the same part is quarantined for another service or model.
+func (t *Tracker) blamedElsewhere(part Part) bool {
+	for blamed := range t.blames {
+		if blamed.ID == part.ID && blamed != part {
+			return true
+		}
+	}
+	return false
+}
+
+// sum sums up the ends under a part, in the order in which this entry learned of them. If
+// oneIsEnough is set, a single end is.
+func sum(part Part, ends []*end, oneIsEnough bool) *suspect {
 	slices.SortFunc(ends, func(a, b *end) int {
 		return cmp.Or(a.parts[part].knownAt.Compare(b.parts[part].knownAt), cmp.Compare(a.server.ID, b.server.ID))
 	})
@@ -117,7 +133,7 @@
 			s.begun++
 		}
 		s.depth = max(s.depth, e.parts[part].depth)
-		if i+1 >= minEnds && s.enoughAt.IsZero() && enough(part, ends[:i+1]) {
+		if s.enoughAt.IsZero() && (oneIsEnough || i+1 >= minEnds && enough(part, ends[:i+1])) {
 			s.enoughAt = e.parts[part].knownAt
 		}
 	}
--- a/savorycore/savoryquarantine/quarantine.go
+++ b/savorycore/savoryquarantine/quarantine.go
@@ -258,14 +258,14 @@
 // because another request tries it.
 func (t *Tracker) mustWait(part Part, owner uint64, held time.Duration, now time.Time) bool {
 	s := t.suspects[part]
-	if s == nil || s.ends < suspectEnds {
+	if s == nil {
 		return false
 	}
 	if !s.enoughAt.IsZero() {
 		return held < SettleTime+maxHold
 	}
 	r, ok := t.tries[part]
-	return ok && r.owner != owner && now.Sub(r.sentAt) < maxHold && held < maxHold
+	return ok && s.ends >= suspectEnds && r.owner != owner && now.Sub(r.sentAt) < maxHold && held < maxHold
 }
 
 func (t *Tracker) startTry(part Part, r try) {
