savoryctl explain: the evidence against a part of a refused request's prompt

A request that is refused with PromptPart names the part in its last line; explain adds the lines of all entries, at any time before, that the evidence and the decision consist of.

--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -41,6 +41,10 @@
 	code       string
 	late       bool
 	firstEvent time.Duration
+	// part is the part of prompts that the line is about, and parts are those of its
+	// request.
+	part  string
+	parts []string
 }
 
 // runExplain prints the history of a request in order of time, with the state changes
@@ -143,25 +147,21 @@
 }
 
 func (l *logLine) set(key, value string) {
+	texts := map[string]*string{
+		"message": &l.message, "request": &l.request, "server": &l.server, "path": &l.path, "to": &l.path,
+		"level": &l.level, "outcome": &l.outcome, "code": &l.code, "part": &l.part,
+	}
+	if text := texts[key]; text != nil {
+		*text = value
+		return
+	}
 	switch key {
 	case "timestamp":
 		if at, err := time.Parse(time.RFC3339Nano, value); err == nil {
 			l.at = at
 		}
-	case "message":
-		l.message = value
-	case "request":
-		l.request = value
-	case "server":
-		l.server = value
-	case "path", "to":
-		l.path = value
-	case "level":
-		l.level = value
-	case "outcome":
-		l.outcome = value
-	case "code":
-		l.code = value
+	case "parts":
+		l.parts = strings.Split(value, ",")
 	case "late":
 		l.late = value == "true"
 	case "firstMs":
@@ -178,6 +178,8 @@
 	// vms and servers are the VMs and the servers that these lines name.
 	vms     map[string]bool
 	servers map[string]bool
+	// refused is the last line of a request that was refused for a part of its prompt.
+	refused *logLine
 }
 
 // collectRequest returns the history of the request with the ID.
@@ -199,9 +201,25 @@
 		}
 	}
 	slices.SortStableFunc(f.lines, byTime)
+	if n := len(f.lines); n > 0 && f.lines[n-1].code == codePromptPart {
+		f.refused = &f.lines[n-1]
+	}
 	return f
 }
 
+// codePromptPart is the code of a request that was refused for a part of its prompt.
+const codePromptPart = "PromptPart"
+
+// includesEvidence reports whether a line is evidence against a part of the prompt of a
+// refused request, at any entry and at any time before.
+func (f *requestHistory) includesEvidence(l logLine) bool {
+	if f.refused == nil || l.at.After(f.refused.at) || l.request == f.refused.request {
+		return false
+	}
+	return strings.HasPrefix(l.message, "server ended under a prompt") && slices.Contains(l.parts, f.refused.part) ||
+		strings.HasPrefix(l.message, "part of prompts ") && l.part == f.refused.part
+}
+
 func byTime(a, b logLine) int { return a.at.Compare(b.at) }
 
 // includes reports whether a line that belongs to no request records a state change
@@ -224,7 +242,7 @@
 	}
 	shown := slices.Clone(f.lines)
 	for _, l := range lines {
-		if f.includes(l) {
+		if f.includes(l) || f.includesEvidence(l) {
 			shown = append(shown, l)
 		}
 	}
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -330,7 +330,10 @@
 		logger = logger.WithFields(log.Fields{"firstMs": c.firstByteAt.Sub(c.startedAt).Milliseconds(), "maxGapMs": c.maxGap.Milliseconds(), "late": late})
 	}
 	if e != nil {
-		logger = logger.WithFields(log.Fields{"code": code, "cause": e.Error()})
+		logger = logger.WithFields(log.Fields{"code": code, "cause": e.Error(), "parts": partIDs(c.prompt)})
+		if refused := (*refusedPartError)(nil); errors.As(e, &refused) {
+			logger = logger.WithField("part", refused.part.ID)
+		}
 	}
 	logger.Info("request ended")
 }
