--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -146,12 +146,31 @@
 	return l, nil
 }
 
-func (l *logLine) set(key, value string) {
-	texts := map[string]*string{
-		"message": &l.message, "request": &l.request, "server": &l.server, "path": &l.path, "to": &l.path,
-		"level": &l.level, "outcome": &l.outcome, "code": &l.code, "part": &l.part,
+// textField returns the field for the text of a key, nil if there is none.
+func (l *logLine) textField(key string) *string {
+	switch key {
+	case "message":
+		return &l.message
+	case "request":
+		return &l.request
+	case "server":
+		return &l.server
+	case "path", "to":
+		return &l.path
+	case "level":
+		return &l.level
+	case "outcome":
+		return &l.outcome
+	case "code":
+		return &l.code
+	case "part":
+		return &l.part
 	}
-	if text := texts[key]; text != nil {
+	return nil
+}
+
+func (l *logLine) set(key, value string) {
+	if text := l.textField(key); text != nil {
 		*text = value
 		return
 	}
