savoryquarantine: operators ask for a trial; docs of the quarantine

The first version let an operator declare a part sound: if the engines still ended, nothing would have blamed it for ten minutes. Now the next request at the first entry tries the part, and only its answer ends the quarantine.

--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -25,7 +25,7 @@
 			Age:    time.Second, Parts: []savoryquarantine.Implicated{{Part: part, Begun: true, Depth: 1, Owners: []uint64{7}}},
 		}},
 		Sound:  []savoryquarantine.Sound{{Part: part, Age: time.Second}},
-		Blames: []savoryquarantine.Blame{{Part: part, Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second}},
+		Blames: []savoryquarantine.Blame{{Part: part, Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second, Asked: 1}},
 	}
 	// Guards against a change of the bytes that peers exchange, such as by a
 	// renamed field without a tag or an enum with another text. A process of
--- a/savorycore/savoryquarantine/quarantine.go
+++ b/savorycore/savoryquarantine/quarantine.go
@@ -86,10 +86,15 @@
 	entry   string
 	trials  int
 	trialAt time.Time
+	// asked is the number of the last trial that an operator wants at once.
+	asked int
 }
 
 // nextTrialAt returns when the part may be tried again.
 func (b *blame) nextTrialAt() time.Time {
+	if b.asked > b.trials {
+		return b.trialAt
+	}
 	delay := firstTrialDelay << min(b.trials, 10)
 	return b.trialAt.Add(min(delay, maxTrialDelay))
 }
@@ -205,14 +210,16 @@
 	}
 }
 
-// Lift ends the quarantine of a part by an operator, and reports whether there was one.
-// The part counts as sound for soundTTL.
-func (t *Tracker) Lift(part Part, now time.Time) bool {
+// AskTrial lets the next request try a quarantined part, as an operator wants it. It
+// reports whether the part is quarantined.
+func (t *Tracker) AskTrial(part Part, now time.Time) bool {
 	t.Update(now)
-	if t.blames[part] == nil {
+	b := t.blames[part]
+	if b == nil {
 		return false
 	}
-	t.RecordProgress(Prompt{Parts: []Part{part}}, now)
+	b.asked = b.trials + 1
+	t.update(now)
 	return true
 }
 
@@ -275,6 +282,17 @@
 	t.tries[part] = r
 }
 
+// ReturnTrial records that a request that was to try a quarantined part reached no server,
+// so that the next request may try it.
+func (t *Tracker) ReturnTrial(p Prompt, now time.Time) {
+	for _, part := range p.Parts {
+		if b := t.blames[part]; b != nil {
+			b.asked = b.trials + 1
+		}
+	}
+	t.update(now)
+}
+
 // EndAttempt records that an attempt to send a request has ended, or goes on.
 func (t *Tracker) EndAttempt(p Prompt) {
 	if len(t.tries) == 0 {
--- a/savorycore/savoryquarantine/quarantine_test.go
+++ b/savorycore/savoryquarantine/quarantine_test.go
@@ -101,8 +101,10 @@
 		tr.RecordEnd(server(s.t, words[2]), prompt(words[3], words[4]), len(words) == 5, s.now)
 	case "progress":
 		tr.RecordProgress(prompt("", words[2]), s.now)
-	case "lift":
-		tr.Lift(part(words[2]), s.now)
+	case "return":
+		tr.ReturnTrial(prompt("", words[2]), s.now)
+	case "ask":
+		tr.AskTrial(part(words[2]), s.now)
 	case "exchange":
 		s.exchange()
 	case "want", "try":
@@ -244,6 +246,6 @@
 	savorygolden.Check(t, savorygolden.MessagePack, []savorygolden.Case{{Name: "state", Value: &State{
 		Ends:   []End{{Server: s, Age: time.Second, Parts: []Implicated{{Part: part("5c1e07a2"), Begun: true, Depth: 1, Owners: []uint64{7}}}}},
 		Sound:  []Sound{{Part: part("91bd3f06"), Age: 2 * time.Second}},
-		Blames: []Blame{{Part: part("e4402b7d"), Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second}},
+		Blames: []Blame{{Part: part("e4402b7d"), Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second, Asked: 1}},
 	}}})
 }
--- a/savorycore/savoryquarantine/state.go
+++ b/savorycore/savoryquarantine/state.go
@@ -50,7 +50,8 @@
 
 // Blame is a quarantined part. Ends is the number of servers that ended under it, and
 // Entry the name of the entry that decided. TrialAge is the time since the last of the
-// Trials, or since the decision.
+// Trials, or since the decision. Asked is the number of the last trial that an operator
+// wants at once.
 type Blame struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // the encoder reads its tag
 
@@ -60,6 +61,7 @@
 	Entry    string
 	Trials   int
 	TrialAge time.Duration
+	Asked    int
 }
 
 // Check returns an error if the state is not well formed.
@@ -135,7 +137,7 @@
 	for _, part := range slices.SortedFunc(maps.Keys(t.blames), compareParts) {
 		b := t.blames[part]
 		if age := now.Sub(b.trialAt); age < blameTTL-expiryMargin {
-			all = append(all, Blame{Part: part, Age: max(0, now.Sub(b.at)), Ends: b.ends, Entry: b.entry, Trials: b.trials, TrialAge: max(0, age)})
+			all = append(all, Blame{Part: part, Age: max(0, now.Sub(b.at)), Ends: b.ends, Entry: b.entry, Trials: b.trials, TrialAge: max(0, age), Asked: b.asked})
 		}
 	}
 	return all
@@ -178,13 +180,14 @@
 	}
 	if known == nil {
 		if len(t.blames) < maxBlames {
-			t.setBlame(b.Part, &blame{at: now.Add(-b.Age), ends: b.Ends, entry: b.Entry, trials: b.Trials, trialAt: now.Add(-b.TrialAge)})
+			t.setBlame(b.Part, &blame{at: now.Add(-b.Age), ends: b.Ends, entry: b.Entry, trials: b.Trials, trialAt: now.Add(-b.TrialAge), asked: b.Asked})
 		}
 		return
 	}
 	if b.Trials > known.trials {
 		known.trials, known.trialAt = b.Trials, now.Add(-b.TrialAge)
 	}
+	known.asked = max(known.asked, b.Asked)
 }
 
 // Print returns a fingerprint of the State, without its times; 0 if it is empty.
@@ -208,7 +211,7 @@
 		total += d.Sum64()
 	}
 	for part, b := range t.blames {
-		add("blame", part, uint64(b.trials))
+		add("blame", part, uint64(b.trials), uint64(b.asked))
 	}
 	for part := range t.shared {
 		add("sound", part)
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -88,6 +88,8 @@
 	body      []byte
 	// prompt is what the request shares with others.
 	prompt savoryquarantine.Prompt
+	// trial is set if the request tries a quarantined part.
+	trial bool
 	// header holds the end-to-end fields of the caller's header. Each request
 	// to a backend server gets a copy.
 	header http.Header
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -233,7 +233,7 @@
 	}
 	router := bunrouter.New()
 	router.GET("/quarantine", bunrouter.HTTPHandlerFunc(g.handleQuarantine))
-	router.POST("/quarantine/lift", bunrouter.HTTPHandlerFunc(g.handleLift))
+	router.POST("/quarantine/try", bunrouter.HTTPHandlerFunc(g.handleTrial))
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	g.tomb.Go(func() error { return g.serve(server, l) })
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -64,6 +64,7 @@
 		now := c.g.now()
 		choice, err := c.g.view.chooseServer(c.service.Name, tried, now)
 		if err != nil {
+			c.returnTrial()
 			c.failPlain(nil, refusals > 0)
 			return
 		}
@@ -77,6 +78,9 @@
 			return
 		}
 		tried[choice.server.ID] = true
+		if res.verdict == savoryverdict.NotRun {
+			c.returnTrial()
+		}
 		switch {
 		case res.verdict != savoryverdict.NotRun:
 			c.mayHaveRun = true
--- a/savoryentry/savorygate/quarantine.go
+++ b/savoryentry/savorygate/quarantine.go
@@ -101,7 +101,7 @@
 		case savoryquarantine.Refuse:
 			return &refusedPartError{part: a.Part, retryAfter: a.RetryAfter}
 		case savoryquarantine.Send:
-			if a.Trial {
+			if c.trial = a.Trial; c.trial {
 				c.log.WithField("part", a.Part.String()).Info("request tries a quarantined part of prompts")
 				c.g.wakeSync()
 			}
@@ -123,6 +123,18 @@
 	return a
 }
 
+// returnTrial lets another request try the part that this one was to try, since it reached no
+// server.
+func (c *call) returnTrial() {
+	if !c.trial {
+		return
+	}
+	c.trial = false
+	c.g.quarantine.mu.Lock()
+	defer c.g.quarantine.mu.Unlock()
+	c.g.quarantine.tracker.ReturnTrial(c.prompt, c.g.now())
+}
+
 // quarantined reports whether a part of the prompt is quarantined.
 func (g *Gate) quarantined(p savoryquarantine.Prompt) bool {
 	g.quarantine.mu.Lock()
@@ -303,8 +315,9 @@
 	}
 }
 
-// handleLift ends the quarantine of the part that the body states, as in the list.
-func (g *Gate) handleLift(w http.ResponseWriter, r *http.Request) {
+// handleTrial lets the next request try the part that the body states, as in the list. If
+// its answer goes on, the part is sound for all entries.
+func (g *Gate) handleTrial(w http.ResponseWriter, r *http.Request) {
 	const maxBodyBytes = 4 << 10
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
 	var p quarantinedPart
@@ -316,14 +329,14 @@
 		return
 	}
 	g.quarantine.mu.Lock()
-	ok := g.quarantine.tracker.Lift(savoryquarantine.Part{Service: p.Service, Model: p.Model, ID: p.Part}, g.now())
+	ok := g.quarantine.tracker.AskTrial(savoryquarantine.Part{Service: p.Service, Model: p.Model, ID: p.Part}, g.now())
 	g.quarantine.mu.Unlock()
 	if !ok {
 		http.Error(w, fmt.Sprintf("part %q of service %q and model %q is not quarantined", p.Part, p.Service, p.Model), http.StatusNotFound)
 		return
 	}
-	g.Log.WithFields(log.Fields{"service": p.Service, "model": p.Model, "part": p.Part}).Warn("an operator ends the quarantine of a part of prompts")
-	g.applyQuarantineChanges()
+	g.Log.WithFields(log.Fields{"service": p.Service, "model": p.Model, "part": p.Part}).Warn("part of prompts is tried again at an operator's request")
+	g.wakeSync()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -106,6 +106,9 @@
 			c.recordEnd("answered", nil)
 			return
 		}
+		if a.verdict == savoryverdict.NotRun {
+			s.returnTrial()
+		}
 		if !s.mayContinue(a) {
 			s.finishFailed(a)
 			return
@@ -152,6 +155,7 @@
 			}, "chain chosen")
 			return choice, nil
 		}
+		s.returnTrial()
 		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
 			return choice, err
 		}
--- a/savoryentry/savorynode/ended.go
+++ b/savoryentry/savorynode/ended.go
@@ -33,6 +33,7 @@
 		g.endsInRow = 0
 		return true
 	case g.lastVerdict == savoryverdict.NotRun:
+		p.returnTrial(g)
 		return true
 	}
 	ended := p.endedHops(ctx, chain)
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -100,10 +100,12 @@
 	lastVerdict   savoryverdict.Verdict
 	attemptTokens int
 	endsInRow     int
-	startedAt     time.Time
-	lastTokenAt   time.Time
-	failedAt      time.Time
-	finishReason  string
+	// trial means that the request tries a quarantined beginning.
+	trial        bool
+	startedAt    time.Time
+	lastTokenAt  time.Time
+	failedAt     time.Time
+	finishReason string
 }
 
 func (p *pipelineRunner) serveCompletion(w http.ResponseWriter, r *http.Request, cl *call) error {
@@ -203,6 +205,9 @@
 			return p.failureError(g, err)
 		}
 		choice, err := p.choose(g, attempt)
+		if err != nil {
+			p.returnTrial(g)
+		}
 		if err != nil && !g.begun() {
 			return p.failureError(g, err)
 		}
--- a/savoryentry/savorynode/quarantine.go
+++ b/savoryentry/savorynode/quarantine.go
@@ -51,6 +51,7 @@
 		a := p.gossip.admit(prompt, now.Sub(begin), now)
 		switch a.Decision {
 		case savoryquarantine.Send:
+			g.trial = a.Trial
 			return nil
 		case savoryquarantine.Refuse:
 			refusal := savoryverdict.Unavailable("PromptPart", a.RetryAfter, "engines end when they answer on the beginning of the prompt")
@@ -65,6 +66,16 @@
 	}
 }
 
+// returnTrial lets another completion try the beginning that this one was to try, since it
+// reached no engine.
+func (p *pipelineRunner) returnTrial(g *generation) {
+	if !g.trial {
+		return
+	}
+	g.trial = false
+	p.callers.tables.quarantine.with(func(t *savoryquarantine.Tracker) { t.ReturnTrial(g.c.quarantinePrompt(), p.callers.now()) })
+}
+
 // admit decides on a completion that was held for a time. The live entry with the lowest
 // address tries quarantined beginnings again.
 func (s *gossiper) admit(prompt savoryquarantine.Prompt, held time.Duration, now time.Time) savoryquarantine.Admission {
