savorygate: a check of an ended server does not delay a stalled stream

Found in review: a silent engine answers the check only after its timeout, so a stream that waits for one was moved or sent on up to 60 ms later. The check runs beside it then. A request that its caller gave up while it was held ends with the code Held, not NoChain; a response to HEAD has no events.

--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -278,8 +278,8 @@
 // brokenOffAfter reports whether a whole event stream that ends with its connection has
 // broken off: it ends inside an event or has none. end is the end of its body.
 func (c *call) brokenOffAfter(response *savoryconn.Response, end []byte) bool {
-	return c.route.Kind == savoryrouting.Streaming && response.StatusCode == http.StatusOK && response.EndsWithConnection() &&
-		!bytes.HasSuffix(end, eventSeparator)
+	stream := c.route.Kind == savoryrouting.Streaming && c.r.Method != http.MethodHead && response.StatusCode == http.StatusOK
+	return stream && response.EndsWithConnection() && !bytes.HasSuffix(end, eventSeparator)
 }
 
 // errAttemptTimeout is the cause of the end of an attempt whose server is too
--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -106,7 +106,14 @@
 		return
 	}
 	first := a.chain[0]
-	a.g.checkEnded(a.log, a.prompt, first.Server, first.Address, a.response != nil, a.recordEnded)
+	begun := a.response != nil
+	check := func() { a.g.checkEnded(a.log, a.prompt, first.Server, first.Address, begun, a.recordEnded) }
+	if errors.Is(a.err, errStalled) {
+		// A silent engine answers the check late, and the stream is sent on meanwhile.
+		go check()
+		return
+	}
+	check()
 }
 
 // minEmptyEnds is the number of engines that must end a continued stream without a further
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -162,7 +162,8 @@
 	}
 	if !a.hasEvents() {
 		if i := slices.IndexFunc(chain, func(h savorypath.Hop) bool { return h.Server == stalled }); i > 0 {
-			g.checkEnded(a.log, a.prompt, stalled, chain[i].Address, false, a.recordEnded)
+			// A silent engine answers the check late, and the stream moves meanwhile.
+			go g.checkEnded(a.log, a.prompt, stalled, chain[i].Address, false, a.recordEnded)
 		}
 	}
 	now := g.now()
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -307,8 +307,8 @@
 
 // failNoChain ends a stream for which no chain is available.
 func (s *stream) failNoChain(err error) {
-	if refused := (*refusedPartError)(nil); errors.As(err, &refused) {
-		s.fail(refused.verdict(s.mayHaveRun))
+	if refused := (*refusedPartError)(nil); errors.As(err, &refused) || errors.Is(err, errHeld) {
+		s.failHeld(err)
 		return
 	}
 	retryAfter := unavailableRetryDelay
