savorygate: engines that ended do not count against the attempts of a stream that has not begun

Engines whose process has ended are not counted now, as for begun streams; three ends in a row are still the bound. TestUnbegunStreamOutlastsEndedEngines failed before (502), passes.

--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -159,14 +159,12 @@
 		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
 			return choice, err
 		}
-		if s.headerWritten {
-			if polls%returnPolls == returnPolls-1 {
-				// The health of the engines, which expires, still applies.
-				s.clearAvoided()
-			}
-			if polls%endedCheckPolls == 0 {
-				s.removeEndedServers()
-			}
+		if s.headerWritten && polls%returnPolls == returnPolls-1 {
+			// The health of the engines, which expires, still applies.
+			s.clearAvoided()
+		}
+		if polls%endedCheckPolls == 0 {
+			s.removeEndedServers()
 		}
 	}
 }
