--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -233,6 +233,18 @@
 	return context.WithDeadlineCause(c.r.Context(), c.deadline, errDeadline)
 }
 
+// wait waits for d and reports whether the caller still waits.
+func (c *call) wait(d time.Duration) bool {
+	ctx, cancel := c.context()
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // callerLeft reports whether the caller has left.
 func (c *call) callerLeft() bool { return c.r.Context().Err() != nil }
 
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -99,31 +99,6 @@
 	}
 }
 
-// wait waits for d and reports whether the caller still waits.
-func (c *call) wait(d time.Duration) bool {
-	ctx, cancel := c.context()
-	defer cancel()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// failHeld ends a request that admit did not allow.
-func (c *call) failHeld(err error) {
-	refused := (*refusedPartError)(nil)
-	switch {
-	case errors.As(err, &refused):
-		c.fail(refused.verdict(c.mayHaveRun))
-	case c.mayHaveRun:
-		c.fail(savoryverdict.Wrap(err))
-	default:
-		c.fail(savoryverdict.Unavailable("Held", busyRetryDelay, "%v", err))
-	}
-}
-
 // checkPlainEnd checks whether a server has ended under a request of which it gave no whole
 // answer, if the request shares something with others.
 func (c *call) checkPlainEnd(s savoryroster.Server, res plainResult) {
--- a/savoryentry/savorygate/quarantine.go
+++ b/savoryentry/savorygate/quarantine.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// failHeld ends a request that admit did not allow.
+func (c *call) failHeld(err error) {
+	refused := (*refusedPartError)(nil)
+	switch {
+	case errors.As(err, &refused):
+		c.fail(refused.verdict(c.mayHaveRun))
+	case c.mayHaveRun:
+		c.fail(savoryverdict.Wrap(err))
+	default:
+		c.fail(savoryverdict.Unavailable("Held", busyRetryDelay, "%v", err))
+	}
+}
+
 // admitPrompt decides on sending a request that was held for a time.
 func (g *Gate) admitPrompt(p savoryquarantine.Prompt, held time.Duration, now time.Time) savoryquarantine.Admission {
 	mayTry := g.quarantined(p) && g.relay.isFirst(now)
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -177,14 +177,7 @@
 	if !s.headerWritten && s.g.now().Sub(s.lastEventAt) > patience {
 		return false
 	}
-	ctx, cancel := s.context()
-	defer cancel()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
+	return s.wait(d)
 }
 
 // chainRequest returns the requirements for the next chain.
