savoryquarantine: ends under one request came one after the other; patterns of deadly parts

Ends within 100 ms count as one round, as when a zone loses power. A request that is sent on at once ends several engines in that time, but is at one engine at a time: each of its ends is a round.

--- a/savorycore/savoryquarantine/ends.go
+++ b/savorycore/savoryquarantine/ends.go
@@ -152,11 +152,12 @@
 			owners[o]++
 		}
 	}
-	counted := len(ends)
+	counted, rounds := len(ends), countRounds(times)
 	for _, n := range owners {
 		counted = min(counted, len(ends)-max(0, n-maxEndsPerRequest))
+		// A request is at one server at a time, so the ends under it came one after the other.
+		rounds = max(rounds, n)
 	}
-	rounds := countRounds(times)
 	return len(addresses) >= minAddresses && len(owners) >= minRequests &&
 		(counted >= minEnds && rounds >= minRounds || counted >= manyEnds && rounds >= minRoundsOfMany)
 }
