--- a/savoryentry/savorynode/gossip.go
+++ b/savoryentry/savorynode/gossip.go
@@ -114,7 +114,7 @@
 func (s *gossiper) startHeartbeats(t *tomb.Tomb) {
 	now := s.now()
 	s.tables.expireMarks(now)
-	s.announceQuarantine(false)
+	s.announceQuarantine(false, true)
 	own := s.ownHeartbeat(now)
 	var targets []savorymember.Peer
 	live := 0
--- a/savoryentry/savorynode/quarantine.go
+++ b/savoryentry/savorynode/quarantine.go
@@ -87,7 +87,7 @@
 	})
 	var a savoryquarantine.Admission
 	s.tables.quarantine.with(func(t *savoryquarantine.Tracker) { a = t.Admit(prompt, held, first, now) })
-	s.announceQuarantine(a.Trial)
+	s.announceQuarantine(a.Trial, true)
 	return a
 }
 
@@ -99,7 +99,7 @@
 	if news {
 		s.log.WithFields(log.Fields{"server": hop.Server, "begun": begun, "part": prompt.Parts[0].String()}).Info("engine ended under a prompt")
 	}
-	s.announceQuarantine(news)
+	s.announceQuarantine(news, true)
 }
 
 // recordAnswerProgress records that an answer of a completion went on.
@@ -112,7 +112,7 @@
 		t.EndAttempt(prompt)
 		news = t.RecordProgress(prompt, s.now())
 	})
-	s.announceQuarantine(news)
+	s.announceQuarantine(news, true)
 }
 
 // endAttempt records that an attempt of a completion has ended.
@@ -121,8 +121,8 @@
 }
 
 // announceQuarantine logs what has changed, and sends the state to other entries if it
-// has, or if news is set.
-func (s *gossiper) announceQuarantine(news bool) {
+// has, or if news is set. origin means that this entry is the first to have it.
+func (s *gossiper) announceQuarantine(news, origin bool) {
 	var changes []savoryquarantine.Change
 	var state *savoryquarantine.State
 	s.tables.quarantine.with(func(t *savoryquarantine.Tracker) {
@@ -135,7 +135,7 @@
 		s.log.WithFields(log.Fields{"part": c.Part.String(), "ends": c.Ends, "decidedBy": c.Entry, "quarantined": c.Quarantined}).Warn("quarantine of a beginning of prompts changed")
 	}
 	if state != nil {
-		s.pool.submit(func() { s.offer(context.Background(), &savorypeer.Offer{Quarantine: state}, true) })
+		s.pool.submit(func() { s.offer(context.Background(), &savorypeer.Offer{Quarantine: state}, origin) })
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 	changed := false
 	s.tables.quarantine.with(func(t *savoryquarantine.Tracker) { changed = t.Merge(state, s.now()) })
-	s.announceQuarantine(changed)
+	s.announceQuarantine(changed, false)
 }
 
 // fetchQuarantine fetches the state of a peer that has another one.
