--- a/savoryentry/savorygate/quarantine.go
+++ b/savoryentry/savorygate/quarantine.go
@@ -79,7 +79,7 @@
 	if mayHaveRun {
 		return savoryverdict.Wrap(e)
 	}
-	v := savoryverdict.Unavailable("PromptPart", e.retryAfter, "%v", e)
+	v := savoryverdict.Unavailable("PromptPart", e.retryAfter, "a part of the prompt is quarantined")
 	v.Err = e
 	return v
 }
