--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
@@ -74,6 +75,10 @@
 	Fault netip.AddrPort
 	// Instance is the ID of the server that responded, or "" if not stated.
 	Instance string
+	// Notice is what the server states about itself. NoticeErr names the fields of it that
+	// are not valid.
+	Notice    savorynotice.Notice
+	NoticeErr error
 }
 
 // Dialect translates the headers of requests and responses.
@@ -135,6 +140,9 @@
 	UsedMemory float64
 	// Requests is the number of requests whose chain begins at the engine.
 	Requests int
+	// Notice and NoticeErr are as in ResponseInfo.
+	Notice    savorynotice.Notice
+	NoticeErr error
 	// StalledOn maps the ID of each request that waits for another engine to
 	// the address of that engine.
 	StalledOn map[string]netip.AddrPort
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -90,6 +90,7 @@
 	// storeEra is the newest era of the store that this entry knows.
 	storeEra         atomic.Int64
 	badRegistrations map[string]string
+	badNotices       badNotices
 	// configPosition is the store's position of the last configuration that was
 	// read.
 	configPosition savoryworld.Position
@@ -232,6 +233,7 @@
 		return fmt.Errorf("open the listener for metrics: %w", err)
 	}
 	router := bunrouter.New()
+	router.GET("/notices", bunrouter.HTTPHandlerFunc(g.handleNotices))
 	router.GET("/quarantine", bunrouter.HTTPHandlerFunc(g.handleQuarantine))
 	router.POST("/quarantine/try", bunrouter.HTTPHandlerFunc(g.handleTrial))
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
@@ -309,6 +311,7 @@
 		now := g.now()
 		g.serverClient.CloseExpired(now)
 		g.view.expireSlowdowns(now, g.config())
+		g.view.expireNotices(now)
 		g.setBudgets()
 		for state, n := range g.view.countsByState(now) {
 			g.metrics.servers.WithLabelValues(state).Set(float64(n))
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -29,6 +29,7 @@
 	listAge          prometheus.Gauge
 	servers          *prometheus.GaugeVec
 	serverEnds       prometheus.Counter
+	notices          *prometheus.CounterVec
 	promptParts      *prometheus.GaugeVec
 	logDropped       prometheus.CounterFunc
 }
@@ -61,6 +62,7 @@
 			Namespace: metricsPrefix, Name: "servers", Help: "Backend servers by state.",
 		}, []string{"state"}),
 		serverEnds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_ends_total", Help: "Requests whose server ended before its answer went on."}),
+		notices:    newCounterVec("server_notices_total", "Limits, pauses and departures that servers stated or ended, by kind; invalid ones by response.", "kind"),
 		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
 		}, []string{"state"}),
@@ -69,7 +71,7 @@
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.orders,
-		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.notices, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/orders.go
+++ b/savoryentry/savorygate/orders.go
@@ -424,10 +424,14 @@
 func (g *Gate) engineReport(server savoryroster.Server) (Report, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
+	sentAt := g.now()
 	report, err := g.Engines.Report(ctx, server.Address)
 	if err != nil {
 		return Report{}, err
 	}
+	if report.StartedAt.Equal(server.Born) {
+		g.observeReport(server.ID, sentAt, report)
+	}
 	if !report.StartedAt.Equal(server.Born) {
 		return Report{}, fmt.Errorf("server %s: reported start time %s, listed start time %s", server.ID, report.StartedAt, server.Born)
 	}
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -195,6 +195,7 @@
 	req := c.newServerRequest(Forward{Server: id, LastEventID: c.caller.LastEventID})
 	c.sends++
 	c.g.recordSend(c.service.Name, c.sends)
+	sentAt := c.g.now()
 	response, err := c.g.serverClient.Do(ctx, choice.server.Address, req)
 	if err != nil {
 		cancel()
@@ -207,6 +208,7 @@
 		return plainResult{err: err, verdict: verdict, server: id}
 	}
 	info := c.g.Dialect.ReadResponse(response.StatusCode, response.Header)
+	c.g.observeResponse(id, sentAt, info)
 	res := plainResult{response: response, server: id, verdict: savoryverdict.Ran}
 	err = c.readStart(&res)
 	if info.NotRun {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -388,14 +388,17 @@
 	req := a.newServerRequest(Forward{Server: first.Server, Chain: a.chain, LastEventID: a.events.lastID(a.caller.LastEventID)})
 	a.events.discardPartial()
 	a.g.recordSend(a.service.Name, a.countSend())
+	sentAt := a.g.now()
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
 	if err != nil {
 		a.recordError(ctx, err)
 		return
 	}
 	a.response = response
+	info := a.g.Dialect.ReadResponse(response.StatusCode, response.Header)
+	a.g.observeResponse(first.Server, sentAt, info)
 	if response.StatusCode != http.StatusOK {
-		a.readRefusal()
+		a.readRefusal(info)
 		return
 	}
 	a.recordMayHaveRun(first)
@@ -446,8 +449,7 @@
 
 // readRefusal reads a response that is not a stream, and excludes the engine at
 // fault from further chains.
-func (a *attempt) readRefusal() {
-	info := a.g.Dialect.ReadResponse(a.response.StatusCode, a.response.Header)
+func (a *attempt) readRefusal(info ResponseInfo) {
 	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes))
 	a.errorBody = body
 	a.err = statusError(a.response.StatusCode)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryroster"
@@ -36,6 +37,8 @@
 	inFlight map[string]int
 	// sharedFailures are the recent server failures to pass on to peers, by server.
 	sharedFailures map[string]time.Time
+	// notices are what the servers state about themselves.
+	notices savorynotice.Board
 	// slowdowns are the engines that are or were lately slower than usual.
 	slowdowns map[string]slowdown
 	// peerList is the copy of the list for peers and fingerprint its fingerprint.
@@ -101,6 +104,9 @@
 			v.health.Forget(c.Server.ID)
 			delete(v.sharedFailures, c.Server.ID)
 		}
+		if c.Kind == "restarted" || c.Kind == "gone" {
+			v.notices.Forget(c.Server.ID)
+		}
 	}
 	for _, s := range l.Servers {
 		v.health.Heartbeat(s.ID, v.roster.HeartbeatAt(s.ID))
@@ -459,7 +465,15 @@
 func (v *view) countsByState(now time.Time) map[string]int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	n := map[string]int{"usable": 0, "leaving": 0, "avoided": 0}
+	n := map[string]int{"usable": 0, "leaving": 0, "avoided": 0, "limited": 0, "paused": 0}
+	for _, s := range v.noticeStatuses(now) {
+		switch {
+		case s.Limit > 0:
+			n["limited"]++
+		case s.PausedFor > 0:
+			n["paused"]++
+		}
+	}
 	for _, s := range v.roster.All() {
 		switch {
 		case s.Leaving:
