--- a/savorycore/savorynotice/board.go
+++ b/savorycore/savorynotice/board.go
@@ -35,7 +35,10 @@
 
 	servers map[string]*server
 	demands map[string]*demand
-	entries []string
+	// entries are the names of the live entries, and entriesSet the number of times that
+	// they were set.
+	entries    []string
+	entriesSet int
 }
 
 // server is what is known about one server.
@@ -47,6 +50,8 @@
 	limit     float64
 	limitAt   time.Time
 	limitedAt time.Time
+	// inReports is set once a report has stated a limit: a later one without it ends it.
+	inReports bool
 	// since is when the limit began, for the log.
 	since       time.Time
 	pausedUntil time.Time
@@ -57,6 +62,9 @@
 	// requests wait that have a reservation.
 	level     float64
 	updatedAt time.Time
+	// rank is the entry's position for this server, by the entries of rankedFor.
+	rank      int
+	rankedFor int
 }
 
 // Change is a change of what is known about a server, for the log.
@@ -85,14 +93,15 @@
 // at sentAt, from the incarnation of a server that started at born. It returns the changes.
 func (b *Board) Observe(id string, born, sentAt, now time.Time, n Notice) []Change {
 	s := b.servers[id]
-	if s == nil && n == (Notice{}) {
+	silent := n == (Notice{InReport: n.InReport})
+	if s == nil && silent {
 		return nil
 	}
 	s = b.server(id)
 	if s.born.Before(born) {
 		*s = server{born: born}
 	}
-	if n != (Notice{}) {
+	if !silent {
 		s.heardAt = now
 	}
 	var changes []Change
@@ -106,7 +115,8 @@
 		}
 		s.pausedUntil = until
 	}
-	if n.LimitUnknown {
+	s.inReports = s.inReports || n.InReport && n.Limit > 0
+	if n.LimitUnknown || n.InReport && n.Limit == 0 && !s.inReports {
 		return changes
 	}
 	if s.relaxes(n.Limit) && (!sentAt.After(s.limitedAt) || now.Sub(s.limitedAt) < relaxDelay) {
@@ -166,6 +176,7 @@
 			newer = at.Sub(s.limitAt) > peerTolerance
 		}
 		if newer {
+			s.inReports = r.InReports
 			changes = append(changes, s.setLimit(r.Server, r.Limit, at, now)...)
 		}
 	}
@@ -193,7 +204,7 @@
 	var states []State
 	for id, s := range b.servers {
 		if s.limit > 0 || !s.limitAt.IsZero() && now.Sub(s.limitAt) < endedTTL {
-			states = append(states, State{Server: id, Born: s.born, Limit: s.limit, Age: max(0, now.Sub(s.limitAt))})
+			states = append(states, State{Server: id, Born: s.born, Limit: s.limit, InReports: s.inReports, Age: max(0, now.Sub(s.limitAt))})
 		}
 	}
 	slices.SortFunc(states, func(x, y State) int { return cmp.Compare(x.Server, y.Server) })
@@ -207,7 +218,7 @@
 	}
 	d := xxhash.New()
 	for _, s := range states {
-		_, _ = fmt.Fprintf(d, "%s|%d|%g;", s.Server, s.Born.UnixMilli(), s.Limit)
+		_, _ = fmt.Fprintf(d, "%s|%d|%g|%t;", s.Server, s.Born.UnixMilli(), s.Limit, s.InReports)
 	}
 	return d.Sum64()
 }
--- a/savorycore/savorynotice/notice.go
+++ b/savorycore/savorynotice/notice.go
@@ -39,6 +39,9 @@
 	Pause time.Duration
 	// Leaving is set if the server takes no new work.
 	Leaving bool
+	// InReport is set if the response is a report on the server's state, and not to a
+	// request. Servers need not state their limit there.
+	InReport bool
 }
 
 // CheckLimit returns an error unless v is above 0, in requests per second, and finite.
@@ -65,6 +68,8 @@
 	Born time.Time
 	// Limit is 0 if the server has stated lately that it has none any more.
 	Limit float64 `msgpack:",omitempty"`
+	// InReports is set if the server states its limit in reports as well.
+	InReports bool `msgpack:",omitempty"`
 	// Age is the time since the response that stated it.
 	Age time.Duration
 }
--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -23,6 +23,10 @@
 	// burstFraction is the fraction of the tolerance that the buckets of all entries
 	// together may hold. The rest covers entries whose views of the fleet differ.
 	burstFraction = 0.75
+	// minSenderBurst is the number of requests that an entry may send at once at least, where
+	// not all entries share a limit. With one, a pause between its callers' requests would
+	// leave its share unused.
+	minSenderBurst = 2
 	// reserveFraction is the fraction of a limit that is divided evenly among the entries
 	// at any demand, so that the first request at an entry finds a share.
 	reserveFraction = 0.1
@@ -106,6 +110,7 @@
 	b.entries = append([]string{b.Entry}, names...)
 	slices.Sort(b.entries)
 	b.entries = slices.Compact(b.entries)
+	b.entriesSet++
 }
 
 // rate returns the rate that this entry may send to a limited server, in requests per
@@ -117,8 +122,11 @@
 	bursts := burstFraction * tolerance
 	n := max(1, len(b.entries))
 	if float64(n) > bursts {
-		n = int(bursts)
-		if !b.isSender(id, n) {
+		n = max(1, int(bursts/minSenderBurst))
+		if s.rankedFor != b.entriesSet || s.rankedFor == 0 {
+			s.rank, s.rankedFor = b.rank(id), b.entriesSet
+		}
+		if s.rank >= n {
 			return 0, 0
 		}
 		return limit / float64(n), bursts / float64(n)
@@ -131,9 +139,9 @@
 	return limit * share, 1 + share*(bursts-float64(n))
 }
 
-// isSender reports whether this entry is one of the n that share the limit of a server. All
-// entries that know the same entries select the same.
-func (b *Board) isSender(id string, n int) bool {
+// rank returns the position of this entry among those that share the limit of a server, from
+// 0. All entries that know the same entries agree on it.
+func (b *Board) rank(id string) int {
 	score := func(entry string) uint64 { return xxhash.Sum64String(entry + "|" + id) }
 	own, before := score(b.Entry), 0
 	for _, e := range b.entries {
@@ -141,23 +149,17 @@
 			before++
 		}
 	}
-	return before < n
+	return before
 }
 
 // Delay returns the time until a request of this entry may be sent to a server. It reports
 // false if this entry sends nothing to the server: it is leaving, or others share its limit.
 func (b *Board) Delay(service, id string, now time.Time) (time.Duration, bool) {
 	s := b.servers[id]
-	switch {
-	case s == nil:
+	if s == nil || s.limit == 0 {
 		return 0, true
-	case s.leaving:
-		return 0, false
-	}
-	wait := max(0, s.pausedUntil.Sub(now))
-	if s.limit == 0 {
-		return wait, true
 	}
+	wait := time.Duration(0)
 	rate, burst := b.rate(service, id, s, now)
 	if rate == 0 {
 		return 0, false
--- a/savorycore/savorypath/search.go
+++ b/savorycore/savorypath/search.go
@@ -57,7 +57,7 @@
 	first, cost := -1, math.Inf(1)
 	for j, c := range candidates {
 		s := suffixes[j].cost + c.firstHopCost
-		if r.FirstServer != "" && c.ID != r.FirstServer || r.FirstServer == "" && c.slotsFull {
+		if r.FirstServer != "" && c.ID != r.FirstServer || r.FirstServer == "" && c.slotsFull || c.notTaken {
 			continue
 		}
 		if from != "" && c.Zone != from {
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -17,6 +17,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"savorycart.example/savorycore/savoryrouting"
@@ -311,6 +312,9 @@
 	// FirstServer is the server that must be the first hop. If it is empty, any
 	// server may be.
 	FirstServer string
+	// FirstDelay returns the time until a server takes a request as the first hop, and
+	// false if it takes none. It may be nil.
+	FirstDelay func(server string) (time.Duration, bool)
 	// CurrentChain is the chain of a running request that is moved; nil for other
 	// requests. Engines that keep their layers keep the memory of the request,
 	// other engines read all tokens so far. Engines of the chain that are no longer
@@ -333,6 +337,8 @@
 	Fill float64
 	// Zones is the number of zones that have a chain of their own.
 	Zones int
+	// Delay is the FirstDelay of the first engine.
+	Delay time.Duration
 }
 
 // The reasons why no chain is chosen.
@@ -342,12 +348,15 @@
 	// ErrFull means that no chain has free memory and at least one usable engine
 	// is full.
 	ErrFull = errors.New("the memory of all chains is taken")
+	// ErrNotTaken means that no engine that could be the first takes the request, by its
+	// FirstDelay.
+	ErrNotTaken = errors.New("no engine takes a further request as the first of a chain")
 )
 
 // Choose returns the chain with the least cost. It tries chains inside one zone
 // first. A chain over several zones is used only if the request allows it, no
 // zone has a chain of its own and the link between zones has free bandwidth. The
-// error is ErrFull or ErrNoChain if there is no chain.
+// error is ErrNotTaken, ErrFull or ErrNoChain if there is no chain.
 func (t *Table) Choose(r Request, now time.Time) (Choice, error) {
 	if t.engine == nil || t.engine.Layers == 0 {
 		return Choice{}, ErrNoChain
@@ -361,6 +370,8 @@
 		}
 	}
 	switch {
+	case best.Chain == nil && slices.ContainsFunc(all, func(c candidate) bool { return c.notTaken && c.Holds.From == 0 }):
+		return Choice{}, ErrNotTaken
 	case best.Chain == nil && full:
 		return Choice{}, ErrFull
 	case best.Chain == nil:
@@ -371,6 +382,9 @@
 	}
 	t.smoothedPass += passSmoothingWeight * (cost - t.smoothedPass)
 	best.PassTime = time.Duration(cost * float64(time.Second))
+	if r.FirstDelay != nil {
+		best.Delay, _ = r.FirstDelay(best.Chain[0].Server)
+	}
 	return best, nil
 }
 
@@ -429,9 +443,11 @@
 	fill     float64
 	full     bool
 	// firstHopCost is the cost in seconds of beginning a chain at the engine.
-	// slotsFull states that the engine's slots for first hops are taken.
+	// slotsFull states that the engine's slots for first hops are taken, notTaken that
+	// FirstDelay rules it out as the first hop.
 	firstHopCost float64
 	slotsFull    bool
+	notTaken     bool
 	// currentLayers are the layers that the engine runs for a request that is
 	// moved. prefillPerLayer is the time in seconds for each layer in which the
 	// engine reads the tokens so far for other layers.
@@ -475,6 +491,11 @@
 		c.slotsFull = slotFraction > maxFirstHopSlotFraction
 		c.firstHopCost = wait * slotFraction
 	}
+	if r.FirstDelay != nil {
+		delay, ok := r.FirstDelay(e.ID)
+		c.firstHopCost += delay.Seconds()
+		c.notTaken = !ok
+	}
 	return c
 }
 
--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -10,6 +10,7 @@
 	"savorycart.example/savorycore/savorygolden"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryroster"
@@ -66,11 +67,13 @@
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
-			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true},
+			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true, NoticePrint: 96, TracksNotices: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults:     []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
 			Slowdowns:  []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
 			Quarantine: quarantine,
+			Notices:    []savorynotice.State{{Server: "oak-1", Born: at, Limit: 2.5, InReports: true, Age: 2 * time.Second}},
+			Demands:    []savorynotice.Demand{{Service: "timber", Rate: 12.5}},
 			Config: &savoryrouting.Config{
 				Version: 9,
 				Routes: []savoryrouting.Route{{
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryroster"
@@ -42,6 +43,10 @@
 	// servers. TracksPrompts is set if the sender merges the states of others.
 	PromptPrint   uint64 `msgpack:",omitempty"`
 	TracksPrompts bool   `msgpack:",omitempty"`
+	// NoticePrint is the fingerprint of the limits of servers that the sender knows.
+	// TracksNotices is set if the sender merges those of others.
+	NoticePrint   uint64 `msgpack:",omitempty"`
+	TracksNotices bool   `msgpack:",omitempty"`
 }
 
 // ListPosition returns the store's position of the list of servers.
@@ -104,6 +109,10 @@
 	// Quarantine is set if the other side is known to have another state of parts of
 	// prompts.
 	Quarantine *savoryquarantine.State `msgpack:",omitempty"`
+	// Notices are the limits of servers, if the other side is known to have others. Demands
+	// is the demand of the sender's callers by service; Relayed applies as to Loads.
+	Notices []savorynotice.State  `msgpack:",omitempty"`
+	Demands []savorynotice.Demand `msgpack:",omitempty"`
 }
 
 var _ message = (*SyncState)(nil)
@@ -141,6 +150,9 @@
 			return fmt.Errorf("SyncState.Quarantine: %w", err)
 		}
 	}
+	if err := savorynotice.CheckAll(n.Notices, n.Demands); err != nil {
+		return fmt.Errorf("SyncState.Notices: %w", err)
+	}
 	return nil
 }
 
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -172,6 +172,7 @@
 	if c.service == nil {
 		return savoryverdict.Unavailable("NoService", unavailableRetryDelay, "route %s has no service", c.route.Name)
 	}
+	c.g.view.recordDemand(c.service.Name, c.startedAt)
 	c.prompt = promptOf(caller, c.service.Name)
 	c.deadline = c.startedAt.Add(c.route.Timeout)
 	if caller.Deadline > 0 && caller.Deadline < c.route.Timeout {
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -137,6 +137,7 @@
 	g.startedAt = g.now()
 	g.metrics = newMetrics(g.LogDropped)
 	g.view.zone = s.Zone
+	g.view.notices.Entry = s.Peers.String()
 	g.view.chainTables = nil
 	g.quarantine.tracker.Entry = s.Name
 	g.relay = relay{
@@ -343,7 +344,7 @@
 func (g *Gate) setBudgets() {
 	s := g.Settings()
 	live := g.relay.liveCount(g.now())
-	g.view.setEntries(live)
+	g.view.setEntries(live, g.relay.liveNames(g.now()))
 	slack := savorylimit.SlackShare(budgetFraction*s.RetrySlack, live, g.now().Sub(g.startedAt), s.RetryWindow)
 	g.budgetMu.Lock()
 	defer g.budgetMu.Unlock()
--- a/savoryentry/savorygate/loads.go
+++ b/savoryentry/savorygate/loads.go
@@ -106,25 +106,43 @@
 
 // addZone adds the loads of the entries of this zone, except those of one entry.
 func (r *relay) addZone(sum loadSum, except savorypeer.Entry, now time.Time) {
+	for _, p := range r.zonePeers(except, now) {
+		sum.add(p.loads)
+	}
+}
+
+// zonePeers returns the entries of this zone that report for themselves only, except one.
+func (r *relay) zonePeers(except savorypeer.Entry, now time.Time) []*relayPeer {
+	var found []*relayPeer
 	for _, p := range r.peers {
 		if p.entry.Zone == r.self.Zone && p.entry.Address != except.Address && !p.relayed && now.Sub(p.contactAt) < loadTTL {
-			sum.add(p.loads)
+			found = append(found, p)
 		}
 	}
+	return found
 }
 
 // addOtherZones adds the sums that the leaders of the other zones reported.
 func (r *relay) addOtherZones(sum loadSum, now time.Time) {
+	for _, p := range r.otherZoneRelays(now) {
+		sum.add(p.loads)
+	}
+}
+
+// otherZoneRelays returns the peers whose sums count for the other zones.
+func (r *relay) otherZoneRelays(now time.Time) []*relayPeer {
 	zones := make(map[string]bool)
 	for _, p := range r.peers {
 		zones[p.entry.Zone] = true
 	}
 	delete(zones, r.self.Zone)
+	var found []*relayPeer
 	for zone := range zones {
 		if p := r.zoneRelay(zone, now); p != nil {
-			sum.add(p.loads)
+			found = append(found, p)
 		}
 	}
+	return found
 }
 
 // zoneRelay returns the peer whose sum counts for a zone: the one that relays and
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -30,6 +30,7 @@
 	servers          *prometheus.GaugeVec
 	serverEnds       prometheus.Counter
 	notices          *prometheus.CounterVec
+	noticeWait       prometheus.Histogram
 	promptParts      *prometheus.GaugeVec
 	logDropped       prometheus.CounterFunc
 }
@@ -63,6 +64,9 @@
 		}, []string{"state"}),
 		serverEnds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_ends_total", Help: "Requests whose server ended before its answer went on."}),
 		notices:    newCounterVec("server_notices_total", "Limits, pauses and departures that servers stated or ended, by kind; invalid ones by response.", "kind"),
+		noticeWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "notice_wait_seconds", Help: "Wait of requests for the limit or pause of a server.", Buckets: buckets,
+		}),
 		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
 		}, []string{"state"}),
@@ -71,7 +75,7 @@
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.orders,
-		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.notices, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/apex/log"
 
 	"savorycart.example/savorycore/savorynotice"
+	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryverdict"
 )
 
 // badNotices are the last errors in notices that were logged, by server.
@@ -45,10 +48,9 @@
 	g.observeNotice(server, sentAt, info.Notice, info.NoticeErr)
 }
 
-// observeReport records the notice in an engine's report. Only responses to requests end a
-// limit.
+// observeReport records the notice in an engine's report.
 func (g *Gate) observeReport(server string, sentAt time.Time, r Report) {
-	r.Notice.LimitUnknown = r.Notice.LimitUnknown || r.Notice.Limit == 0
+	r.Notice.InReport = true
 	g.observeNotice(server, sentAt, r.Notice, r.NoticeErr)
 }
 
@@ -59,7 +61,7 @@
 			g.Log.WithError(err).WithField("server", server).Warn("response of the server states a limit or pause that is not valid")
 		}
 	}
-	changes, left := g.view.observe(server, sentAt, g.now(), n)
+	changes, left := g.view.observe(server, sentAt, g.now(), n, g.config())
 	if g.recordNotices(changes, "response") {
 		g.wakeSync()
 	}
@@ -79,13 +81,119 @@
 	return len(changes) > 0
 }
 
-// observe records a notice and returns the changes, and whether the server is leaving only
-// now.
-func (v *view) observe(server string, sentAt, now time.Time, n savorynotice.Notice) (changes []savorynotice.Change, left bool) {
+// observe records a notice and returns the changes, and whether the server is leaving by its
+// own word only.
+func (v *view) observe(server string, sentAt, now time.Time, n savorynotice.Notice, cfg *savoryrouting.Config) (changes []savorynotice.Change, left bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listed, _ := v.roster.Server(server)
-	return v.notices.Observe(server, listed.Born, sentAt, now, n), false
+	listed, ok := v.roster.Server(server)
+	changes = v.notices.Observe(server, listed.Born, sentAt, now, n)
+	_, _ = ok, cfg
+	return changes, false
+}
+
+// mergeNotices records the limits that a peer knows and returns the changes.
+func (v *view) mergeNotices(states []savorynotice.State, now time.Time) []savorynotice.Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := make([]savorynotice.State, 0, len(states))
+	for _, s := range states {
+		// The list may have removed the server, or replaced it by a later incarnation.
+		if listed, ok := v.roster.Server(s.Server); ok && !s.Born.Before(listed.Born) {
+			known = append(known, s)
+		}
+	}
+	return v.notices.Merge(known, now)
+}
+
+// noticesForPeers returns the limits to pass on and the demand of this entry's callers.
+func (v *view) noticesForPeers(now time.Time) ([]savorynotice.State, []savorynotice.Demand) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.notices.States(now), v.notices.Demands(now)
+}
+
+// setPeerDemands replaces the demands that the peers announced, by service.
+func (v *view) setPeerDemands(rates map[string]float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.notices.SetPeerDemands(rates)
+}
+
+// recordDemand records a caller's request for a service.
+func (v *view) recordDemand(service string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.notices.RecordRequest(service, now)
+}
+
+// unsent gives back the place in a server's limit of a request that was not sent.
+func (v *view) unsent(server string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.notices.Cancel(server)
+}
+
+// takesRequests reports whether a server that a request has waited for is still listed, not
+// leaving and not paused.
+func (v *view) takesRequests(server string, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s, ok := v.roster.Server(server)
+	return ok && !s.Leaving && v.notices.Paused(server, now) == 0
+}
+
+// returnDelay returns when a caller may come back that is refused because no server of the
+// service takes requests now.
+func (v *view) returnDelay(service string, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ids []string
+	for _, s := range v.roster.Available(service) {
+		if !v.health.Failing(s.ID, now) && s.Holds.From == 0 {
+			ids = append(ids, s.ID)
+		}
+	}
+	return v.notices.ReturnDelay(service, ids, now)
+}
+
+// errNotTaken is returned if servers of a service are available and none takes a request in
+// time, by what the servers state about themselves.
+var errNotTaken = errors.New("the servers take no more requests now")
+
+const (
+	// maxDelayFraction bounds the wait for a server that takes a request later, as a
+	// fraction of the time that is left to the deadline. The wait is also bounded by the
+	// latency objective: a request that waits longer is late in any case, and those behind
+	// it as well.
+	maxDelayFraction = 0.25
+)
+
+// maxDelay returns how long the request waits for a server that takes it later.
+func (c *call) maxDelay() time.Duration {
+	d := time.Duration(maxDelayFraction * float64(c.deadline.Sub(c.g.now())))
+	if c.route.Objective > 0 {
+		d = min(d, c.route.Objective)
+	}
+	return max(0, d)
+}
+
+// awaitTurn waits until the server takes the request. It reports whether the request may be
+// sent; if not, another server must be chosen, unless the caller has left.
+func (c *call) awaitTurn(server string, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	c.g.metrics.noticeWait.Observe(delay.Seconds())
+	c.logDecision(log.Fields{"server": server, "delayMs": delay.Milliseconds()}, "request waits for the limit or pause of the server")
+	return c.wait(delay) && c.g.view.takesRequests(server, c.g.now())
+}
+
+// notTaken returns the refusal of a request for which no server takes it in time.
+func (c *call) notTaken(err error) *savoryverdict.Error {
+	e := savoryverdict.Unavailable("Limited", max(busyRetryDelay, c.g.view.returnDelay(c.service.Name, c.g.now())), "the servers of service %s take no more requests now", c.service.Name)
+	e.Err = err
+	return e
 }
 
 func (v *view) expireNotices(now time.Time) {
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -62,12 +62,22 @@
 			return
 		}
 		now := c.g.now()
-		choice, err := c.g.view.chooseServer(c.service.Name, tried, now)
+		choice, err := c.g.view.chooseServer(c.service.Name, tried, c.maxDelay(), now)
 		if err != nil {
 			c.returnTrial()
-			c.failPlain(nil, refusals > 0)
+			c.failPlain(err, refusals > 0)
 			return
 		}
+		if !c.awaitTurn(choice.server.ID, choice.delay) {
+			c.g.view.endServerRequest(choice.server.ID)
+			c.g.view.unsent(choice.server.ID)
+			c.g.endAttempt(c.prompt)
+			if c.callerLeft() || !now.Before(c.deadline) {
+				c.failPlain(errNotTaken, refusals > 0)
+				return
+			}
+			continue
+		}
 		c.logDecision(log.Fields{
 			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
 		}, "server chosen")
@@ -152,7 +162,8 @@
 }
 
 // failPlain ends the request with an error response of the entry. refused is
-// set if a server refused the request; err is nil if no server was left to try.
+// set if a server refused the request; err is errNoServer or errNotTaken if no server was
+// left to try.
 func (c *call) failPlain(err error, refused bool) {
 	switch {
 	case c.mayHaveRun && errors.Is(err, errDeadline):
@@ -162,6 +173,8 @@
 		})
 	case c.mayHaveRun:
 		c.fail(savoryverdict.Wrap(err))
+	case errors.Is(err, errNotTaken):
+		c.fail(c.notTaken(err))
 	case refused:
 		c.fail(savoryverdict.Unavailable("Busy", busyRetryDelay, "all servers of service %s are busy", c.service.Name))
 	default:
@@ -204,6 +217,9 @@
 		if errors.As(err, &failure) {
 			verdict = failure.Verdict
 		}
+		if notSent(err) {
+			c.g.view.unsent(id)
+		}
 		c.recordFailure(id, err)
 		return plainResult{err: err, verdict: verdict, server: id}
 	}
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/apex/log"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
 )
@@ -67,6 +68,10 @@
 	// leaderLoadsAt.
 	leaderLoads   []savorypath.Load
 	leaderLoadsAt time.Time
+	// leaderDemands are the demands that the zone leader reported last, at
+	// leaderDemandsAt.
+	leaderDemands   []savorynotice.Demand
+	leaderDemandsAt time.Time
 	// draining and storeWorks report the state of this entry for its peers.
 	draining   func() bool
 	storeWorks func() bool
@@ -84,9 +89,11 @@
 	storeWorks bool
 	orderer    bool
 	versions   savorypeer.Versions
-	// loads are what the peer reported to have in flight; if relayed is set, they
-	// include those of the entries for which the peer relays.
+	// loads are what the peer reported to have in flight and demands the demand of its
+	// callers; if relayed is set, they include those of the entries for which the peer
+	// relays.
 	loads   []savorypath.Load
+	demands []savorynotice.Demand
 	relayed bool
 	calling bool
 	// failed is set while the last call to the peer failed and no contact followed.
@@ -403,7 +410,7 @@
 	}
 	recovered = !p.live(now)
 	p.contactAt, p.draining, p.storeWorks, p.orderer, p.versions = now, s.Draining, s.StoreWorks, s.Orderer, s.Known
-	p.loads, p.relayed, p.failed = s.Loads, s.Relayed, false
+	p.loads, p.demands, p.relayed, p.failed = s.Loads, s.Demands, s.Relayed, false
 	for _, e := range s.Entries {
 		q := r.add(e, now)
 		if q != nil && (e.Zone == s.From.Zone || s.From.Zone == r.self.Zone) {
@@ -557,6 +564,12 @@
 		state.Faults = append(state.Faults, savorypeer.ServerFailure{Server: id, Age: age})
 	}
 	state.Slowdowns = g.view.recentSlowdowns(now)
+	notices, demands := g.view.noticesForPeers(now)
+	state.Demands = g.relay.demandsFor(to, demands, now)
+	state.Known.TracksNotices, state.Known.NoticePrint = true, savorynotice.Fingerprint(notices)
+	if known != nil && known.TracksNotices && known.NoticePrint != state.Known.NoticePrint {
+		state.Notices = notices
+	}
 	state.Known.TracksPrompts = true
 	state.Known.PromptPrint, state.Quarantine = g.quarantineState(known)
 	return state
@@ -578,6 +591,8 @@
 		g.view.confirmList(s.Known, now)
 	}
 	g.view.setPeerLoads(g.relay.loads(now), now)
+	g.view.setPeerDemands(g.relay.demands(now))
+	changed = g.recordNotices(g.view.mergeNotices(s.Notices, now), "peer") || changed
 	for _, f := range s.Faults {
 		if g.view.recordPeerFailure(f.Server, now.Add(-f.Age)) {
 			changed = true
--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return false
 	}
-	a.g.view.endChain(a.service.Name, choice.Chain, a.tokens)
+	a.g.view.dropChain(a.service.Name, choice.Chain, a.tokens)
 	first := choice.Chain[0]
 	if _, err := a.g.report(ctx, first.Address); err != nil {
 		if ctx.Err() == nil {
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -224,7 +224,7 @@
 	g, a := w.attempt.g, w.attempt
 	choice, err := g.view.chooseChain(a.service.Name, savorypath.Request{
 		Tokens: a.tokens, FirstServer: chain[0].Server, CurrentChain: chain, Continuing: true, AllowCrossZone: true, Avoid: func(id string) bool { return avoid[id] },
-	}, g.now())
+	}, 0, g.now())
 	if err != nil {
 		a.log.WithError(err).WithField("avoided", len(avoid)).Info("no chain to move to")
 		return nil, false
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -100,6 +100,15 @@
 			s.failNoChain(err)
 			return
 		}
+		if !s.awaitTurn(choice.Chain[0].Server, choice.Delay) {
+			c.g.view.dropChain(c.service.Name, choice.Chain, s.tokens)
+			c.g.endAttempt(c.prompt)
+			if c.callerLeft() || !c.g.now().Before(c.deadline) {
+				s.failNoChain(errNotTaken)
+				return
+			}
+			continue
+		}
 		a := &attempt{stream: s, chain: choice.Chain, choice: choice}
 		a.run()
 		if a.complete {
@@ -280,7 +289,7 @@
 func (s *stream) findChain(r savorypath.Request, now time.Time) (savorypath.Choice, error) {
 	firsts := s.startedServers()
 	if len(firsts) < max(1, s.route.Attempts) {
-		return s.g.view.chooseChain(s.service.Name, r, now)
+		return s.g.view.chooseChain(s.service.Name, r, s.maxDelay(), now)
 	}
 	var choice savorypath.Choice
 	err := savorypath.ErrNoChain
@@ -289,7 +298,7 @@
 	r.Avoid = func(id string) bool { return avoid(id) && !firsts[id].IsValid() }
 	for first := range firsts {
 		r.FirstServer = first
-		if choice, err = s.g.view.chooseChain(s.service.Name, r, now); err == nil {
+		if choice, err = s.g.view.chooseChain(s.service.Name, r, s.maxDelay(), now); err == nil {
 			break
 		}
 	}
@@ -307,6 +316,9 @@
 		retryAfter = s.memoryRetryDelay()
 	}
 	e := savoryverdict.Unavailable("NoChain", retryAfter, "no chain of service %s is free", s.service.Name)
+	if errors.Is(err, savorypath.ErrNotTaken) || errors.Is(err, errNotTaken) {
+		e = s.notTaken(err)
+	}
 	if s.mayHaveRun {
 		e = savoryverdict.Wrap(err)
 	}
@@ -426,6 +438,7 @@
 	}
 	if failure != nil && failure.NotSent() {
 		a.recordUnsent()
+		a.g.view.unsent(a.chain[0].Server)
 	}
 	if a.callerLeft() || errors.Is(err, errDeadline) || errors.Is(err, errQuarantined) {
 		return
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -172,8 +172,9 @@
 }
 
 // chooseChain chooses a chain and counts the request in the load of its engines,
-// until endChain.
-func (v *view) chooseChain(service string, r savorypath.Request, now time.Time) (savorypath.Choice, error) {
+// until endChain, and in the limit of the first one. The request must be sent after the
+// Delay of the choice, which is at most maxDelay.
+func (v *view) chooseChain(service string, r savorypath.Request, maxDelay time.Duration, now time.Time) (savorypath.Choice, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	avoid := r.Avoid
@@ -187,10 +188,19 @@
 		}
 		return v.health.Avoided(id, now)
 	}
+	if r.CurrentChain == nil {
+		r.FirstDelay = func(id string) (time.Duration, bool) {
+			delay, ok := v.notices.Delay(service, id, now)
+			return delay, ok && delay <= maxDelay
+		}
+	}
 	t := v.table(service)
 	choice, err := t.Choose(r, now)
 	if err == nil {
 		t.RecordStart(choice.Chain, r.Tokens, now)
+		if r.CurrentChain == nil {
+			v.notices.Reserve(choice.Chain[0].Server)
+		}
 	}
 	return choice, err
 }
@@ -219,6 +229,12 @@
 	v.table(service).RecordEnd(chain, tokens, time.Now())
 }
 
+// dropChain undoes chooseChain for a request that was not sent.
+func (v *view) dropChain(service string, chain savorypath.Chain, tokens int) {
+	v.endChain(service, chain, tokens)
+	v.unsent(chain[0].Server)
+}
+
 // serverChoice is a server chosen for a request without a chain.
 type serverChoice struct {
 	server   savoryroster.Server
@@ -229,20 +245,33 @@
 	// slots is the number of requests that the server runs at once.
 	slots      int
 	triedCount int
+	// delay is the time after which the server takes the request.
+	delay time.Duration
 }
 
 // chooseServer chooses the server of a service with the fewest requests of this
 // entry in flight per slot, and counts the new request at it, until
-// endServerRequest. It excludes the servers that this request already tried, and
-// chooses servers that are avoided after a failure only if there is no other. The
-// error is errNoServer if none is available.
-func (v *view) chooseServer(service string, tried map[string]bool, now time.Time) (serverChoice, error) {
+// endServerRequest, and in its limit. It excludes the servers that this request already
+// tried or that take none for maxDelay by their own word. It chooses servers that take the
+// request later only if no other one works, and servers that are avoided after a failure
+// only if there is none of these either. The error is errNoServer if no server is available,
+// and errNotTaken if none takes the request.
+func (v *view) chooseServer(service string, tried map[string]bool, maxDelay time.Duration, now time.Time) (serverChoice, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	servers := slices.DeleteFunc(v.roster.Available(service), func(s savoryroster.Server) bool { return tried[s.ID] })
 	if len(servers) == 0 {
 		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNoServer)
 	}
+	delays := make(map[string]time.Duration)
+	servers = slices.DeleteFunc(servers, func(s savoryroster.Server) bool {
+		delay, ok := v.notices.Delay(service, s.ID, now)
+		delays[s.ID] = delay
+		return !ok || delay > maxDelay
+	})
+	if len(servers) == 0 {
+		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNotTaken)
+	}
 	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 	loadRank := func(s savoryroster.Server) float64 {
 		r := float64(v.inFlight[s.ID]) / float64(max(1, s.Slots))
@@ -250,13 +279,16 @@
 			// Between equally loaded servers the one in this zone wins.
 			r += 0.01
 		}
+		if d := delays[s.ID]; d > 0 {
+			r += delayPenalty + d.Seconds()
+		}
 		if v.health.Avoided(s.ID, now) {
 			r += avoidedPenalty
 		}
 		return r
 	}
 	slices.SortStableFunc(servers, func(a, b savoryroster.Server) int { return cmp.Compare(loadRank(a), loadRank(b)) })
-	c := serverChoice{server: servers[0], inFlight: v.inFlight[servers[0].ID], slots: servers[0].Slots, triedCount: len(tried)}
+	c := serverChoice{server: servers[0], inFlight: v.inFlight[servers[0].ID], slots: servers[0].Slots, triedCount: len(tried), delay: delays[servers[0].ID]}
 	if len(servers) > 1 {
 		c.runnerUp = servers[1].ID
 	}
@@ -264,6 +296,7 @@
 		v.inFlight = make(map[string]int)
 	}
 	v.inFlight[c.server.ID]++
+	v.notices.Reserve(c.server.ID)
 	return c, nil
 }
 
@@ -273,13 +306,17 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return slices.ContainsFunc(v.roster.Available(service), func(s savoryroster.Server) bool {
-		return s.ID != id && !tried[s.ID] && !v.health.Avoided(s.ID, now)
+		delay, ok := v.notices.Delay(service, s.ID, now)
+		return s.ID != id && !tried[s.ID] && !v.health.Avoided(s.ID, now) && ok && delay == 0
 	})
 }
 
-// avoidedPenalty is added to the load per slot of a server that is avoided; real
-// loads are far below it.
-const avoidedPenalty = 1000
+// delayPenalty is added to the load per slot of a server that takes the request later, and
+// avoidedPenalty to that of one that is avoided; real loads are far below both.
+const (
+	delayPenalty   = 100
+	avoidedPenalty = 1000
+)
 
 func (v *view) endServerRequest(id string) {
 	v.mu.Lock()
@@ -487,10 +524,12 @@
 	return n
 }
 
-// setEntries sets the number of live entries in the chain tables.
-func (v *view) setEntries(n int) {
+// setEntries sets the number of live entries in the chain tables, and the names of the
+// others, with which this entry shares the limits of servers.
+func (v *view) setEntries(n int, others []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.notices.SetEntries(others)
 	for _, t := range v.chainTables {
 		t.Entries = n
 	}
