--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -156,10 +156,16 @@
 // false if this entry sends nothing to the server: it is leaving, or others share its limit.
 func (b *Board) Delay(service, id string, now time.Time) (time.Duration, bool) {
 	s := b.servers[id]
-	if s == nil || s.limit == 0 {
+	switch {
+	case s == nil:
 		return 0, true
+	case s.leaving:
+		return 0, false
 	}
 	wait := time.Duration(0)
+	if s.limit == 0 {
+		return wait, true
+	}
 	rate, burst := b.rate(service, id, s, now)
 	if rate == 0 {
 		return 0, false
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -88,8 +88,14 @@
 	defer v.mu.Unlock()
 	listed, ok := v.roster.Server(server)
 	changes = v.notices.Observe(server, listed.Born, sentAt, now, n)
-	_, _ = ok, cfg
-	return changes, false
+	if n.Leaving && ok && !listed.Leaving {
+		// The roster keeps it for the incarnation, and passes it on to peers.
+		v.roster.MarkLeaving(server)
+		v.listChanged = true
+		v.rebuild(cfg)
+		left = true
+	}
+	return changes, left
 }
 
 // mergeNotices records the limits that a peer knows and returns the changes.
