--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -162,7 +162,7 @@
 	case s.leaving:
 		return 0, false
 	}
-	wait := time.Duration(0)
+	wait := max(0, s.pausedUntil.Sub(now))
 	if s.limit == 0 {
 		return wait, true
 	}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -186,7 +186,7 @@
 			// An engine that refuses new requests continues those that it runs.
 			return v.health.Failing(id, now)
 		}
-		return v.health.Avoided(id, now)
+		return v.health.Avoided(id, now) || v.notices.Paused(id, now) > maxDelay
 	}
 	if r.CurrentChain == nil {
 		r.FirstDelay = func(id string) (time.Duration, bool) {
