--- a/savorycore/savorychain/choose.go
+++ b/savorycore/savorychain/choose.go
@@ -138,7 +138,7 @@
 }
 
 // Choose returns the best chain for req at now. The error is ErrNoChain if no
-// chain covers all layers, or an *OverloadError if no chain is expected to give
+// chain covers all layers, a *LimitedError if no first engine takes the request now, or an *OverloadError if no chain is expected to give
 // the first token in time. Engines that are leaving are never chosen. Servers
 // that are suspected, in req.Avoid or in req.StalledServers are chosen only for
 // a stage that has no other server.
@@ -161,17 +161,26 @@
 	// byEnd maps a layer to the partial chains that end there.
 	byEnd := map[int][]*partialChain{}
 	considered := 0
-	for _, g := range t.groups[modelKey{req.Pipeline.Model, req.Pipeline.Version}] {
+	key := modelKey{req.Pipeline.Model, req.Pipeline.Version}
+	var refusing []*serverState
+	for _, g := range t.groups[key] {
 		if g.layers.From != 0 && len(byEnd[g.layers.From]) == 0 {
 			continue
 		}
 		for _, s := range t.candidates(g, req, now) {
+			if g.layers.From == 0 && !t.takes(key.demandKey(), s, now) {
+				refusing = append(refusing, s)
+				continue
+			}
 			considered++
 			p := t.extend(byEnd[g.layers.From], s, req, now)
 			byEnd[g.layers.To] = append(byEnd[g.layers.To], p)
 		}
 	}
 	complete := byEnd[req.Pipeline.Layers]
+	if len(complete) == 0 && len(refusing) > 0 {
+		return Choice{}, t.limited(req.Pipeline.Name, key.demandKey(), refusing, now, ErrNoChain)
+	}
 	if len(complete) == 0 {
 		return Choice{}, fmt.Errorf("pipeline %s: %w", req.Pipeline.Name, ErrNoChain)
 	}
@@ -211,7 +220,10 @@
 // engines that hold state of the request, and the engines that all entries
 // prefer for its prefix.
 func (t *Table) candidates(g *group, req Request, now time.Time) []*serverState {
-	trusted := func(s *serverState) bool { return !s.isLeaving() && s.penalty(&req, now) == 0 }
+	demand := modelKey{req.Pipeline.Model, req.Pipeline.Version}.demandKey()
+	trusted := func(s *serverState) bool {
+		return !s.isLeaving() && s.penalty(&req, now) == 0 && (g.layers.From != 0 || t.takes(demand, s, now))
+	}
 	picked := t.sample(g, trusted)
 	if len(picked) == 0 {
 		return t.sample(g, func(s *serverState) bool { return !s.isLeaving() })
--- a/savorycore/savorychain/service.go
+++ b/savorycore/savorychain/service.go
@@ -24,7 +24,7 @@
 // ChooseService returns the server of a plain service that has the fewest
 // requests of this entry in flight. Among equal servers it prefers the server
 // with the least link delay from the entry's zone. The error is ErrNoServer if
-// there is no usable server. Servers in avoid are never chosen, and suspected
+// there is no usable server, and a *LimitedError if none takes the request now. Servers in avoid are never chosen, and suspected
 // servers only if there is no other server.
 func (t *Table) ChooseService(service string, avoid []string, now time.Time) (ServiceChoice, error) {
 	var states []*serverState
@@ -37,6 +37,11 @@
 	if len(states) == 0 {
 		return ServiceChoice{}, fmt.Errorf("service %s: %w", service, ErrNoServer)
 	}
+	taking := slices.DeleteFunc(slices.Clone(states), func(s *serverState) bool { return !t.takes(service, s, now) })
+	if len(taking) == 0 {
+		return ServiceChoice{}, t.limited(service, service, states, now, ErrNoServer)
+	}
+	states = taking
 	t.Rand.Shuffle(len(states), func(i, j int) { states[i], states[j] = states[j], states[i] })
 	slices.SortStableFunc(states, func(a, b *serverState) int { return t.compareService(a, b, now) })
 	choice := ServiceChoice{Server: states[0].server}
@@ -67,6 +72,7 @@
 func (t *Table) RecordServiceSent(server string) {
 	if s := t.states[server]; s != nil {
 		s.running++
+		t.Notices.Reserve(server)
 	}
 }
 
--- a/savorycore/savorychain/table.go
+++ b/savorycore/savorychain/table.go
@@ -20,6 +20,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savoryhash"
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savoryworld"
 )
 
@@ -54,6 +55,8 @@
 	SampleSize int
 	// SubsetSize is the number of engines of a group that the entry uses.
 	SubsetSize int
+	// Notices is what the servers state about themselves.
+	Notices savorynotice.Board
 
 	snapshot        *savoryconfig.Snapshot
 	states          map[string]*serverState
@@ -212,6 +215,9 @@
 		if s == nil {
 			continue
 		}
+		if i == 0 {
+			t.Notices.Reserve(hop.Server)
+		}
 		p := &pendingPrompt{tokens: tokens, arrival: now.Add(choice.arrivals[i])}
 		s.running++
 		s.pending = append(s.pending, p)
--- a/savorycore/savoryengine/golden_test.go
+++ b/savorycore/savoryengine/golden_test.go
@@ -22,7 +22,7 @@
 	layers := savoryworld.LayerRange{From: 3, To: 12}
 	chain := []Hop{{Server: "oak-1", Address: netip.MustParseAddrPort("10.0.0.1:8001"), Layers: layers}}
 	ran := []ExecutedHop{{Server: "oak-1", Layers: layers}}
-	load := Load{Server: "oak-1", At: goldenAt, Running: 2, Queued: 3}
+	load := Load{Server: "oak-1", At: goldenAt, Running: 2, Queued: 3, Limit: 2.5}
 	wanted := Assignment{Model: "saw", Version: "v2", Adapter: "fine", Layers: layers}
 	savorygolden.Check(t, savorygolden.JSON, []savorygolden.Case{
 		{Name: "run", Value: &Run{
@@ -34,7 +34,7 @@
 			Request: "r1", Attempt: 2, Index: 5, Text: "wood", Ran: ran, Loads: []Load{load}, Finish: "length",
 		}}, Zero: []string{"Event.Fault"}},
 		{Name: "fault", Value: &Event{Fault: &Error{
-			Verdict: savoryverdict.MayHaveRun, Server: "oak-1", Leaving: true, Message: "is full",
+			Verdict: savoryverdict.MayHaveRun, Server: "oak-1", Leaving: true, PauseSeconds: 1.5, Message: "is full",
 		}}, Zero: []string{"Event.Token"}},
 		{Name: "step", Value: &Step{
 			Request: "r1", Attempt: 2, Index: 5, Model: "saw", Version: "v2", Layers: 24, Chain: chain, Position: 1,
--- a/savorycore/savoryengine/wire.go
+++ b/savorycore/savoryengine/wire.go
@@ -17,6 +17,7 @@
 	"net/netip"
 	"time"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -85,6 +86,18 @@
 	Running int
 	// Queued is the number of tokens that wait to be run.
 	Queued int
+	// Limit is the rate of runs, per second, that the engine accepts from all entries
+	// together as the first stage; 0 if it has no limit.
+	Limit float64 `json:",omitempty"`
+}
+
+// Notice returns what the load states about the engine.
+func (l Load) Notice() savorynotice.Notice {
+	n := savorynotice.Notice{Limit: l.Limit}
+	if l.Limit != 0 && savorynotice.CheckLimit(l.Limit) != nil {
+		n = savorynotice.Notice{LimitUnknown: true}
+	}
+	return n
 }
 
 // Token is one sampled token.
@@ -108,7 +121,9 @@
 	Server string
 	// Leaving is set if the engine accepts no new work.
 	Leaving bool
-	Message string
+	// PauseSeconds is how long the engine wants no run from the entry; 0 if it states none.
+	PauseSeconds float64 `json:",omitempty"`
+	Message      string
 }
 
 var _ error = (*Error)(nil)
--- a/savorycore/savorynotice/board.go
+++ b/savorycore/savorynotice/board.go
@@ -35,6 +35,8 @@
 
 	servers map[string]*server
 	demands map[string]*demand
+	// demandsKnown is set once the demands of peers are known.
+	demandsKnown bool
 	// entries are the names of the live entries, and entriesSet the number of times that
 	// they were set.
 	entries    []string
--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -95,8 +95,10 @@
 	return own
 }
 
-// SetPeerDemands replaces the demands that all other entries announced, by service.
+// SetPeerDemands replaces the demands that all other entries announced, by service. Before
+// its first call limits are divided evenly.
 func (b *Board) SetPeerDemands(rates map[string]float64) {
+	b.demandsKnown = true
 	for _, d := range b.demands {
 		d.others = 0
 	}
@@ -133,7 +135,7 @@
 	}
 	share := 1 / float64(n)
 	d := b.demand(service)
-	if own := d.rateAt(now); own+d.others > 0 {
+	if own := d.rateAt(now); b.demandsKnown && own+d.others > 0 {
 		share = reserveFraction*share + (1-reserveFraction)*own/(own+d.others)
 	}
 	return limit * share, 1 + share*(bursts-float64(n))
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -30,6 +30,7 @@
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savorystore"
@@ -319,6 +320,7 @@
 	t.chains.value = savorychain.Table{
 		Entry: self.Name(), Zone: self.Zone, Rand: n.Rand,
 		SampleSize: savorychain.DefaultSampleSize, SubsetSize: savorychain.DefaultSubsetSize,
+		Notices: savorynotice.Board{Entry: self.Name()},
 	}
 	return t
 }
@@ -356,7 +358,7 @@
 	}
 	n.callers.services = &serviceRunner{
 		callers: n.callers, claims: n.claims, region: n.Settings.Region, entry: n.self().Name(),
-		pooled: transport(true), fresh: transport(false),
+		pooled: transport(true), fresh: transport(false), markLeaving: n.gossip.markLeaving,
 	}
 }
 
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -18,6 +18,7 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryengine"
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorystream"
 	"savorycart.example/savorycore/savoryverdict"
 )
@@ -391,9 +392,12 @@
 	}
 	g.lastTokenAt = now
 	g.finishReason = t.Finish
+	var changes []savorynotice.Change
+	defer func() { logNotices(p.callers.log, changes) }()
 	p.callers.tables.chains.with(func(table *savorychain.Table) {
 		for _, load := range t.Loads {
 			table.RecordLoad(load, now)
+			changes = append(changes, table.Observe(load.Server, now, now, load.Notice())...)
 		}
 		for _, stage := range t.Ran {
 			table.RecordProgress(stage.Server)
@@ -430,6 +434,9 @@
 	g.log.WithError(err).WithFields(log.Fields{
 		"chain": savorychain.ServerNames(choice.Chain), "server": server, "emitted": len(g.sequence.Emitted()),
 	}).Warn("attempt failed")
+	if fault != nil && fault.PauseSeconds != 0 {
+		recordPause(p.callers, choice.Chain[0].Server, fault.PauseSeconds)
+	}
 	if fault != nil && fault.Leaving {
 		p.gossip.markLeaving(server)
 	}
@@ -476,6 +483,9 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
+	if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) && !g.mayHaveRun {
+		return limitedError(limited)
+	}
 	var overload *savorychain.OverloadError
 	if errors.As(err, &overload) {
 		return savoryverdict.Unavailable("Overloaded", max(minOverloadRetryAfter, overload.RetryAfter()), "%v", overload)
--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -56,6 +56,8 @@
 	// be repeated use it: on a reused connection that the server has just
 	// closed, the outcome would be unknown.
 	fresh http.RoundTripper
+	// markLeaving announces that a server is leaving by its own word.
+	markLeaving func(server string)
 }
 
 // serviceCall is one request to a plain service.
@@ -236,6 +238,9 @@
 		}
 	})
 	if err != nil {
+		if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) {
+			return nil, limitedError(limited)
+		}
 		failure := savoryverdict.Unavailable("NoServer", noServerRetryAfter, "no server of service %s is available", sc.route.Service)
 		failure.Err = err
 		return nil, failure
@@ -280,6 +285,7 @@
 			transport = s.pooled
 		}
 	}
+	sentAt := s.callers.now()
 	resp, err := transport.RoundTrip(req) //nolint:bodyclose // closed by serviceAnswer.close
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errHeaderLate) {
@@ -293,6 +299,7 @@
 		}
 	}
 	s.callers.tables.chains.with(func(t *savorychain.Table) { t.RecordProgress(server.Name) })
+	s.observeNotice(server.Name, sentAt, resp)
 	return &serviceResponse{resp: resp, end: finished}, nil
 }
 
--- a/savoryentry/savorynode/tables.go
+++ b/savoryentry/savorynode/tables.go
@@ -155,4 +155,8 @@
 		}
 	}
 	t.limits.with(func(l *limitState) { l.limiter.SetEntries(entries) })
+	t.chains.with(func(table *savorychain.Table) {
+		table.Notices.SetEntries(entries)
+		table.Notices.Expire(now)
+	})
 }
--- a/savorystand/savoryservice/service.go
+++ b/savorystand/savoryservice/service.go
@@ -29,6 +29,7 @@
 	faults   Faults
 	executed map[string]int
 	total    int
+	received int
 }
 
 // Faults are the faults that a Service simulates; the zero value has none.
@@ -48,6 +49,10 @@
 	EndlessResponse bool
 	// TruncatedResponse closes the connection in the middle of the response.
 	TruncatedResponse bool
+	// Header is added to each response.
+	Header http.Header
+	// Refuse responds with status 503 and executes nothing.
+	Refuse bool
 }
 
 // Receipt is the response to an executed action.
@@ -79,6 +84,13 @@
 	return s.total
 }
 
+// Received returns the number of requests that the service received.
+func (s *Service) Received() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received
+}
+
 // ServeHTTP returns the roster for a GET request and executes any other request.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
@@ -88,7 +100,15 @@
 	}
 	s.mu.Lock()
 	faults := s.faults
+	s.received++
 	s.mu.Unlock()
+	for name, values := range faults.Header {
+		w.Header()[name] = values
+	}
+	if faults.Refuse {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
 	if faults.Unresponsive {
 		<-r.Context().Done()
 		return
