--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -476,6 +476,10 @@
 			fault = a.chain[0].Server
 		}
 		a.avoidServer(fault)
+		if info.Notice.Pause > 0 && fault == a.chain[0].Server {
+			// The engine works, and has said when it takes requests again.
+			return
+		}
 		a.g.checkRefusal(a.log, a.service, fault, a.chain)
 		return
 	}
