--- a/savoryentry/savorygate/events.go
+++ b/savoryentry/savorygate/events.go
@@ -24,6 +24,9 @@
 	hasLast bool
 	// searched is the number of bytes of data that contain no separator.
 	searched int
+	// foreign is set if the current server sent an event without an ID after events with
+	// IDs, such as the text of an error.
+	foreign bool
 }
 
 var eventSeparator = []byte("\n\n")
@@ -31,8 +34,10 @@
 // add appends bytes from a server.
 func (b *eventBuffer) add(p []byte) { b.data = append(b.data, p...) }
 
-// discardPartial discards the incomplete event of a failed server.
-func (b *eventBuffer) discardPartial() { b.data, b.searched = b.data[:0], 0 }
+// nextServer discards the incomplete event of a failed server: another one continues.
+func (b *eventBuffer) nextServer() {
+	b.data, b.searched, b.foreign = b.data[:0], 0, false
+}
 
 // tooLarge reports whether the incomplete event exceeds maxPartialEventBytes.
 func (b *eventBuffer) tooLarge() bool { return len(b.data) > maxPartialEventBytes }
@@ -57,6 +62,10 @@
 		event := complete[:size]
 		complete = complete[size:]
 		id, ok := eventID(event)
+		if !ok && b.hasLast && !isComment(event) {
+			b.foreign = true
+			break
+		}
 		if ok && b.hasLast && id <= b.last {
 			continue
 		}
@@ -82,6 +91,16 @@
 	return strconv.FormatInt(b.last, 10)
 }
 
+// isComment reports whether an event has only comments.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if text := bytes.TrimSpace(line); len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, and false if it has no valid one.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.Lines(event) {
--- a/savoryentry/savorygate/events_test.go
+++ b/savoryentry/savorygate/events_test.go
@@ -25,7 +25,7 @@
 			}
 		}
 		feed(all[:rapid.IntRange(0, len(all)).Draw(t, "broken")])
-		b.discardPartial()
+		b.nextServer()
 		// The next server may begin anywhere at or before the next event.
 		from := rapid.Int64Range(0, b.last).Draw(t, "from")
 		rest := all
@@ -71,3 +71,32 @@
 	out, _ := b.takeComplete()
 	is.Equal(len(out), maxPartialEventBytes+3)
 }
+
+// Guards against the text of an error, or its head, in the middle of a stream.
+func TestForeignEventsAreNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		text, want string
+		foreign    bool
+	}{
+		{"id: 2\ndata: b\n\n", "id: 2\ndata: b\n\n", false},
+		{": still there\n\nid: 2\ndata: b\n\n", ": still there\n\nid: 2\ndata: b\n\n", false},
+		{"internal error\n\n", "", true},
+		{"data: {\"error\":\"no memory\"}\n\n", "", true},
+		{"id: 2\ndata: b\n\nHTTP/1.1 500 Error\nContent-Length: 5\n\nerror\n\n", "id: 2\ndata: b\n\n", true},
+		{"id: two\ndata: b\n\n", "", true},
+	} {
+		t.Run(c.text, func(t *testing.T) {
+			is := is.New(t)
+			var b eventBuffer
+			b.add([]byte("id: 1\ndata: a\n\nid: 2\nda"))
+			b.takeComplete()
+			b.nextServer()
+			b.add([]byte(c.text))
+			out, _ := b.takeComplete()
+			is.Equal(string(out), c.want)
+			is.Equal(b.foreign, c.foreign)
+			b.nextServer()
+			is.True(!b.foreign)
+		})
+	}
+}
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -61,6 +61,8 @@
 	// headerCopied is set once the header of an engine's response is copied to
 	// the response for the caller.
 	headerCopied bool
+	// mediaType is that of the response whose header was copied.
+	mediaType string
 
 	// mu guards sends, unsent, firstServers, avoided, eventCount and endsInRow, which the
 	// stallWatch of an attempt and the checks of ended engines use as well.
@@ -398,7 +400,7 @@
 	}()
 	first := a.chain[0]
 	req := a.newServerRequest(Forward{Server: first.Server, Chain: a.chain, LastEventID: a.events.lastID(a.caller.LastEventID)})
-	a.events.discardPartial()
+	a.events.nextServer()
 	a.g.recordSend(a.service.Name, a.countSend())
 	sentAt := a.g.now()
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
@@ -414,13 +416,28 @@
 		return
 	}
 	a.recordMayHaveRun(first)
+	mediaType := response.Header.Get("Content-Type")
 	if !a.headerCopied {
 		a.copyResponseHeader(response.Header)
-		a.headerCopied = true
+		a.headerCopied, a.mediaType = true, mediaType
+	}
+	if a.headerWritten && mediaType != a.mediaType {
+		a.recordForeign(ctx, fmt.Errorf("%w: content type %q after %q", errForeignResponse, mediaType, a.mediaType))
+		return
 	}
 	a.copyEvents(ctx)
 }
 
+// errForeignResponse is the failure of an engine whose response does not continue the stream.
+var errForeignResponse = errors.New("the response does not continue the stream")
+
+// recordForeign records a response that does not continue the stream. Nothing of it is
+// passed on.
+func (a *attempt) recordForeign(ctx context.Context, err error) {
+	a.g.view.recordFailure(a.chain[0].Server, false, a.g.now())
+	a.recordError(ctx, err)
+}
+
 // recordError records an error of the chain, and excludes the engine at fault
 // from further chains.
 func (a *attempt) recordError(ctx context.Context, err error) {
@@ -502,7 +519,11 @@
 				a.err, a.verdict = werr, savoryverdict.MayHaveRun
 				return
 			}
-			if a.events.tooLarge() {
+			switch {
+			case a.events.foreign:
+				a.recordForeign(ctx, errForeignResponse)
+				return
+			case a.events.tooLarge():
 				a.g.view.recordFailure(a.chain[0].Server, false, a.g.now())
 				a.recordError(ctx, errEventTooLarge)
 				return
