--- a/savorycore/savorywire/msgpack.go
+++ b/savorycore/savorywire/msgpack.go
@@ -30,6 +30,9 @@
 			err = fmt.Errorf("decode %T: %v", v, panicValue)
 		}
 	}()
+	if err := checkDepth(body); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
 	if err := msgpack.Unmarshal(body, v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
--- a/savorycore/savorywire/msgpack_test.go
+++ b/savorycore/savorywire/msgpack_test.go
@@ -1,6 +1,7 @@
 package savorywire
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -33,3 +34,14 @@
 	is.NoErr(Decode(first, got))
 	is.Equal(*got, v)
 }
+
+// Guards against a deeply nested message that ends the process, which no recover catches: the
+// store's largest values are below a megabyte, messages of peers below 16.
+func TestDecodeDeeplyNested(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{1 << 10, 1 << 20, 16 << 20} {
+		body := bytes.Repeat([]byte{0x91}, size) // arrays of one element
+		is.True(Decode(body, new(sample)) != nil)
+		is.True(Decode(append([]byte("\x81\xa1x"), body...), new(sample)) != nil) // an unknown field
+	}
+}
