--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -4,8 +4,10 @@
 package savoryvmlist
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -56,19 +58,25 @@
 	return groups
 }
 
-// VMs returns the VMs of groups. It returns an error if a target is not an
-// address with a port or a state is unknown.
+// VMs returns the VMs of groups. The error joins one for each group with an unknown state
+// and each target that is not an address with a port; the other VMs are returned.
 func VMs(groups []Group) ([]savoryworld.VM, error) {
 	var vms []savoryworld.VM
+	var invalid []error
 	for _, g := range groups {
 		state := savoryworld.VMState(g.Labels.State)
 		if state != savoryworld.VMLive && state != savoryworld.VMLeaving {
-			return nil, fmt.Errorf("VM list: unknown state %q, expected live or leaving", g.Labels.State)
+			invalid = append(invalid, fmt.Errorf("VM list: unknown state %q, expected live or leaving", g.Labels.State))
+			continue
 		}
 		for _, target := range g.Targets {
 			address, err := netip.ParseAddrPort(target)
+			if err == nil && address.Port() == 0 {
+				err = fmt.Errorf("%q has no port", target)
+			}
 			if err != nil {
-				return nil, fmt.Errorf("VM list: %w", err)
+				invalid = append(invalid, fmt.Errorf("VM list: %w", err))
+				continue
 			}
 			vms = append(vms, savoryworld.VM{
 				Address: address,
@@ -79,7 +87,7 @@
 			})
 		}
 	}
-	return vms, nil
+	return vms, errors.Join(invalid...)
 }
 
 // Client reads the VMs that match its filter from the platform. It sends the
@@ -93,6 +101,9 @@
 	Timeout time.Duration
 	// Filter selects the VMs to read; it is sent as the URL query.
 	Filter Filter
+	// OnInvalid, if set, is called with the errors of the elements of a changed list that are
+	// left out since they cannot be read.
+	OnInvalid func(error)
 
 	client http.Client
 	// etag is the ETag of lastVMs; empty before the first read or if the platform
@@ -165,14 +176,18 @@
 
 // readList decodes a changed list and keeps the VMs that match the filter.
 func (c *Client) readList(resp *http.Response) ([]savoryworld.VM, error) {
-	var groups []Group
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&groups); err != nil {
-		return nil, fmt.Errorf("decoding VM list: %w", err)
-	}
-	vms, err := VMs(groups)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
+		return nil, fmt.Errorf("reading VM list: %w", err)
+	}
+	groups, err := decodeGroups(body)
+	if groups == nil && err != nil {
 		return nil, err
 	}
+	vms, invalid := VMs(groups)
+	if err = errors.Join(err, invalid); err != nil && c.OnInvalid != nil {
+		c.OnInvalid(err)
+	}
 	kept := make([]savoryworld.VM, 0, len(vms))
 	for _, vm := range vms {
 		if c.Filter.Matches(vm) {
@@ -182,3 +197,62 @@
 	c.etag, c.lastVMs = resp.Header.Get("ETag"), kept
 	return kept, nil
 }
+
+// decodeGroups decodes a list. It returns nil if body is not a JSON array; otherwise the
+// error joins one for each element that is left out.
+func decodeGroups(body []byte) ([]Group, error) {
+	elements, err := splitArray(body)
+	if err != nil {
+		return nil, fmt.Errorf("decoding VM list: %w", err)
+	}
+	groups := make([]Group, 0, len(elements))
+	var invalid []error
+	for i, e := range elements {
+		var g Group
+		if err := json.Unmarshal(e, &g); err != nil {
+			invalid = append(invalid, fmt.Errorf("decoding VM list: element %d: %w", i, err))
+			continue
+		}
+		groups = append(groups, g)
+	}
+	return groups, errors.Join(invalid...)
+}
+
+// splitArray returns the elements of a JSON array without decoding them. Package json would
+// refuse the whole array if one of them is nested too deeply.
+func splitArray(body []byte) ([][]byte, error) {
+	body = bytes.TrimSpace(body)
+	if len(body) < 2 || body[0] != '[' || body[len(body)-1] != ']' {
+		return nil, errors.New("is not a JSON array")
+	}
+	body = body[1 : len(body)-1]
+	var elements [][]byte
+	depth, begin, inString, escaped := 0, 0, false, false
+	for i, c := range body {
+		switch {
+		case escaped:
+			escaped = false
+		case inString:
+			escaped, inString = c == '\\', c != '"'
+		case c == '"':
+			inString = true
+		case c == '[' || c == '{':
+			depth++
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 0:
+			elements = append(elements, body[begin:i])
+			begin = i + 1
+		}
+		if depth < 0 {
+			return nil, errors.New("brackets do not match")
+		}
+	}
+	if depth != 0 || inString {
+		return nil, errors.New("brackets or quotes are not closed")
+	}
+	if last := bytes.TrimSpace(body[begin:]); len(last) > 0 || len(elements) > 0 {
+		elements = append(elements, last)
+	}
+	return elements, nil
+}
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -343,6 +343,7 @@
 func (n *Node) listClient(filter savoryvmlist.Filter) *savoryvmlist.Client {
 	return &savoryvmlist.Client{
 		Address: n.Settings.Platform.VMList, Timeout: n.Settings.Platform.StoreTimeout.AsDuration(), Filter: filter,
+		OnInvalid: func(err error) { n.Log.WithError(err).Warn("elements of the VM list left out") },
 	}
 }
 
