--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -397,7 +397,7 @@
 		engines = append(engines, &t.engines[i])
 	}
 	for _, e := range engines {
-		if e.Holds.Empty() || e.Accelerator == nil || r.Avoid != nil && r.Avoid(e.ID) {
+		if e.Holds.Empty() || e.Holds.From < 0 || e.Accelerator == nil || r.Avoid != nil && r.Avoid(e.ID) {
 			continue
 		}
 		c := t.candidate(e, r, now)
