--- a/savoryctl/explain.go
+++ b/savoryctl/explain.go
@@ -199,6 +199,8 @@
 	servers map[string]bool
 	// refused is the last line of a request that was refused for a part of its prompt.
 	refused *logLine
+	// limited is the last line of a request that no server took by its limit or pause.
+	limited *logLine
 }
 
 // collectRequest returns the history of the request with the ID.
@@ -222,12 +224,24 @@
 	slices.SortStableFunc(f.lines, byTime)
 	if n := len(f.lines); n > 0 && f.lines[n-1].code == codePromptPart {
 		f.refused = &f.lines[n-1]
+	} else if n > 0 && f.lines[n-1].code == codeLimited {
+		f.limited = &f.lines[n-1]
 	}
 	return f
 }
 
-// codePromptPart is the code of a request that was refused for a part of its prompt.
-const codePromptPart = "PromptPart"
+// The codes of requests that were refused for a part of their prompt, and because no server
+// took them by its limit or pause.
+const (
+	codePromptPart = "PromptPart"
+	codeLimited    = "Limited"
+)
+
+// includesNotice reports whether a line states a limit or pause that the entry of a refused
+// request knew of, at any time before.
+func (f *requestHistory) includesNotice(l logLine) bool {
+	return f.limited != nil && f.vms[l.vm] && !l.at.After(f.limited.at) && strings.HasPrefix(l.message, "server notice ")
+}
 
 // includesEvidence reports whether a line is evidence against a part of the prompt of a
 // refused request, at any entry and at any time before.
@@ -261,7 +275,7 @@
 	}
 	shown := slices.Clone(f.lines)
 	for _, l := range lines {
-		if f.includes(l) || f.includesEvidence(l) {
+		if f.includes(l) || f.includesEvidence(l) || f.includesNotice(l) {
 			shown = append(shown, l)
 		}
 	}
--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
 )
@@ -56,11 +57,13 @@
 	r.addEntries(f.seeds, f.now)
 }
 
+var oneDemand = []savorynotice.Demand{{Service: "s", Rate: 1}}
+
 var oneLoad = []savorypath.Load{{Server: "e", Requests: 1, Memory: 1}}
 
 func (r *relay) state(to savorypeer.Entry, now time.Time) *savorypeer.SyncState {
 	loads, relayed := r.loadsFor(to, oneLoad, now)
-	return &savorypeer.SyncState{From: r.self, Draining: r.draining(), StoreWorks: true, Entries: r.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed}
+	return &savorypeer.SyncState{From: r.self, Draining: r.draining(), StoreWorks: true, Entries: r.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed, Demands: r.demandsFor(to, oneDemand, now)}
 }
 
 // round makes each running entry exchange state with its targets.
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,13 +177,31 @@
 	maxDelayFraction = 0.25
 )
 
-// maxDelay returns how long the request waits for a server that takes it later.
+// maxDelay returns how long the request waits for a server that takes it later. Of less
+// urgent requests fewer wait, so that the more urgent ones are served first.
 func (c *call) maxDelay() time.Duration {
 	d := time.Duration(maxDelayFraction * float64(c.deadline.Sub(c.g.now())))
 	if c.route.Objective > 0 {
 		d = min(d, c.route.Objective)
 	}
-	return max(0, d)
+	return max(0, d>>min(maxPriorityRank, c.priorityRank()))
+}
+
+// maxPriorityRank bounds the halvings of the wait of less urgent requests.
+const maxPriorityRank = 3
+
+// priorityRank returns by how much the request is less urgent than the most urgent route of
+// its service, 0 if it is not.
+func (c *call) priorityRank() int {
+	own := savoryrouting.Priority(c.route, c.customer)
+	first := own
+	for i := range c.table.Config.Routes {
+		r := &c.table.Config.Routes[i]
+		if slices.ContainsFunc(r.Shares, func(s savoryrouting.Share) bool { return s.Service == c.service.Name }) {
+			first = min(first, r.Priority)
+		}
+	}
+	return own - first
 }
 
 // awaitTurn waits until the server takes the request. It reports whether the request may be
@@ -197,8 +217,9 @@
 
 // notTaken returns the refusal of a request for which no server takes it in time.
 func (c *call) notTaken(err error) *savoryverdict.Error {
-	e := savoryverdict.Unavailable("Limited", max(busyRetryDelay, c.g.view.returnDelay(c.service.Name, c.g.now())), "the servers of service %s take no more requests now", c.service.Name)
-	e.Err = err
+	now := c.g.now()
+	e := savoryverdict.Unavailable("Limited", max(busyRetryDelay, c.g.view.returnDelay(c.service.Name, now)), "the servers of service %s take no more requests now", c.service.Name)
+	e.Err = fmt.Errorf("%w (%s)", err, c.g.view.noticeSummary(c.service.Name, now))
 	return e
 }
 
@@ -217,6 +238,26 @@
 	}, now)
 }
 
+// noticeSummary describes for the log what the servers of a service state.
+func (v *view) noticeSummary(service string, now time.Time) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	limited, paused, rate, share := 0, 0, 0.0, 0.0
+	for _, s := range v.noticeStatuses(now) {
+		if listed, ok := v.roster.Server(s.Server); !ok || listed.Service != service {
+			continue
+		}
+		if s.Limit > 0 {
+			limited++
+			rate, share = rate+s.Limit, share+s.Share
+		}
+		if s.PausedFor > 0 {
+			paused++
+		}
+	}
+	return fmt.Sprintf("of %d servers %d are limited to %.4g requests per second, of which this entry has %.4g, and %d paused", len(v.roster.Available(service)), limited, rate, share, paused)
+}
+
 // handleNotices writes the servers that are limited, paused or leaving by their own word.
 func (g *Gate) handleNotices(w http.ResponseWriter, _ *http.Request) {
 	g.view.mu.Lock()
