--- a/savorycore/savorynotice/board.go
+++ b/savorycore/savorynotice/board.go
@@ -106,6 +106,11 @@
 	if !silent {
 		s.heardAt = now
 	}
+	return append(s.observeRefusal(id, now, n), s.observeLimit(id, sentAt, now, n)...)
+}
+
+// observeRefusal records that the server is leaving or asks for a pause.
+func (s *server) observeRefusal(id string, now time.Time, n Notice) []Change {
 	var changes []Change
 	if n.Leaving && !s.leaving {
 		s.leaving = true
@@ -117,15 +122,20 @@
 		}
 		s.pausedUntil = until
 	}
+	return changes
+}
+
+// observeLimit records the limit in a response, or that it states none.
+func (s *server) observeLimit(id string, sentAt, now time.Time, n Notice) []Change {
 	s.inReports = s.inReports || n.InReport && n.Limit > 0
 	if n.LimitUnknown || n.InReport && n.Limit == 0 && !s.inReports {
-		return changes
+		return nil
 	}
 	if s.relaxes(n.Limit) && (!sentAt.After(s.limitedAt) || now.Sub(s.limitedAt) < relaxDelay) {
 		// The response may have been written before the one that stated the limit.
-		return changes
+		return nil
 	}
-	return append(changes, s.setLimit(id, n.Limit, now, now)...)
+	return s.setLimit(id, n.Limit, now, now)
 }
 
 // relaxes reports whether a limit allows more than the known one.
@@ -149,10 +159,10 @@
 		}
 	}
 	s.limit, s.limitAt = limit, at
-	switch {
-	case limit == old:
+	switch limit {
+	case old:
 		return nil
-	case limit == 0:
+	case 0:
 		return []Change{{Server: id, Kind: "no limit"}}
 	}
 	return []Change{{Server: id, Kind: "limit", Limit: limit}}
--- a/savorycore/savorynotice/board_test.go
+++ b/savorycore/savorynotice/board_test.go
@@ -140,9 +140,9 @@
 		want    string
 	}{
 		{states: []State{{Server: "s", Limit: 2}}, demands: []Demand{{Service: "a", Rate: 0}}},
-		{states: []State{{Limit: 2}}, want: "limit 0: Server: is empty"},
-		{states: []State{{Server: "s", Limit: -2}}, want: "limit 0: Limit: -2 is not a rate above 0 and up to 1e+09 requests per second"},
-		{states: []State{{Server: "s", Age: -1}}, want: "limit 0: Age: -1ns is below 0"},
+		{states: []State{{Limit: 2}}, want: "limit 0: field Server is empty"},
+		{states: []State{{Server: "s", Limit: -2}}, want: "limit 0: field Limit: -2 is not a rate above 0 and up to 1e+09 requests per second"},
+		{states: []State{{Server: "s", Age: -1}}, want: "limit 0: field Age: -1ns is below 0"},
 		{demands: []Demand{{Service: "a", Rate: -1}}, want: `demand 0: service "a" with -1 requests per second`},
 		{demands: make([]Demand, maxStates+1), want: "0 limits and 16385 demands, more than 16384"},
 	} {
--- a/savorycore/savorynotice/fleet_test.go
+++ b/savorycore/savorynotice/fleet_test.go
@@ -33,8 +33,7 @@
 	heard map[string]float64
 	alive map[string]time.Time
 	// pending are the requests that wait for their turn, as (time, server).
-	pending  []fleetSend
-	isolated bool
+	pending []fleetSend
 }
 
 type fleetSend struct {
@@ -81,11 +80,11 @@
 	return f
 }
 
-func (f *fleet) start(rate float64) *fleetEntry {
+// start adds an entry whose callers send requests at a rate.
+func (f *fleet) start(rate float64) {
 	f.started++
 	e := &fleetEntry{board: &Board{Entry: fmt.Sprint("e", f.started)}, rate: rate, heard: make(map[string]float64), alive: make(map[string]time.Time)}
 	f.entries = append(f.entries, e)
-	return e
 }
 
 // run advances the time by d.
--- a/savorycore/savorynotice/notice.go
+++ b/savorycore/savorynotice/notice.go
@@ -77,14 +77,14 @@
 // Check returns an error if the state is not well formed.
 func (s *State) Check() error {
 	if s.Server == "" {
-		return errors.New("Server: is empty")
+		return errors.New("field Server is empty")
 	}
 	if s.Age < 0 {
-		return fmt.Errorf("Age: %s is below 0", s.Age)
+		return fmt.Errorf("field Age: %s is below 0", s.Age)
 	}
 	if s.Limit != 0 {
 		if err := CheckLimit(s.Limit); err != nil {
-			return fmt.Errorf("Limit: %w", err)
+			return fmt.Errorf("field Limit: %w", err)
 		}
 	}
 	return nil
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -369,13 +369,8 @@
 			best, cost = Choice{Chain: chain, Fill: fill}, c
 		}
 	}
-	switch {
-	case best.Chain == nil && slices.ContainsFunc(all, func(c candidate) bool { return c.notTaken && c.Holds.From == 0 }):
-		return Choice{}, ErrNotTaken
-	case best.Chain == nil && full:
-		return Choice{}, ErrFull
-	case best.Chain == nil:
-		return Choice{}, ErrNoChain
+	if best.Chain == nil {
+		return Choice{}, reason(all, full)
 	}
 	if t.smoothedPass == 0 {
 		t.smoothedPass = cost
@@ -388,6 +383,17 @@
 	return best, nil
 }
 
+// reason returns why there is no chain. full is set if one of the candidates is full.
+func reason(all []candidate, full bool) error {
+	switch {
+	case slices.ContainsFunc(all, func(c candidate) bool { return c.notTaken && c.Holds.From == 0 }):
+		return ErrNotTaken
+	case full:
+		return ErrFull
+	}
+	return ErrNoChain
+}
+
 // candidates returns all usable engines, the same engines by zone, and whether
 // at least one of them is full.
 func (t *Table) candidates(r Request, now time.Time) (all []candidate, byZone map[string][]candidate, full bool) {
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -127,10 +127,8 @@
 			return fmt.Errorf("SyncState.Entries[%d].Address: is not an IP address with a port", i)
 		}
 	}
-	for i, s := range n.Slowdowns {
-		if s.Factor < 1 || s.Age < 0 {
-			return fmt.Errorf("SyncState.Slowdowns[%d]: factor %g is below 1, or age %s below 0", i, s.Factor, s.Age)
-		}
+	if err := checkSlowdowns(n.Slowdowns); err != nil {
+		return err
 	}
 	if n.Known.ListAge < 0 {
 		return fmt.Errorf("SyncState.Known.ListAge: %s is below 0", n.Known.ListAge)
@@ -156,6 +154,15 @@
 	return nil
 }
 
+func checkSlowdowns(slowdowns []ServerSlowdown) error {
+	for i, s := range slowdowns {
+		if s.Factor < 1 || s.Age < 0 {
+			return fmt.Errorf("SyncState.Slowdowns[%d]: factor %g is below 1, or age %s below 0", i, s.Factor, s.Age)
+		}
+	}
+	return nil
+}
+
 // Sync sends state to a peer and returns the state of the peer.
 func (c *Client) Sync(ctx context.Context, to netip.AddrPort, state *SyncState) (*SyncState, error) {
 	response := new(SyncState)
--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -227,28 +227,19 @@
 	}
 	body = body[1 : len(body)-1]
 	var elements [][]byte
-	depth, begin, inString, escaped := 0, 0, false, false
+	var n nesting
+	begin := 0
 	for i, c := range body {
-		switch {
-		case escaped:
-			escaped = false
-		case inString:
-			escaped, inString = c == '\\', c != '"'
-		case c == '"':
-			inString = true
-		case c == '[' || c == '{':
-			depth++
-		case c == ']' || c == '}':
-			depth--
-		case c == ',' && depth == 0:
+		n.add(c)
+		if n.depth < 0 {
+			return nil, errors.New("brackets do not match")
+		}
+		if c == ',' && n.depth == 0 && !n.inString {
 			elements = append(elements, body[begin:i])
 			begin = i + 1
 		}
-		if depth < 0 {
-			return nil, errors.New("brackets do not match")
-		}
 	}
-	if depth != 0 || inString {
+	if n.depth != 0 || n.inString {
 		return nil, errors.New("brackets or quotes are not closed")
 	}
 	if last := bytes.TrimSpace(body[begin:]); len(last) > 0 || len(elements) > 0 {
@@ -256,3 +247,27 @@
 	}
 	return elements, nil
 }
+
+// nesting is the state of a JSON text up to a byte: the number of open brackets, and whether
+// a string is open.
+type nesting struct {
+	depth    int
+	inString bool
+	escaped  bool
+}
+
+func (n *nesting) add(c byte) {
+	if n.inString {
+		n.inString = n.escaped || c != '"'
+		n.escaped = !n.escaped && c == '\\'
+		return
+	}
+	switch c {
+	case '"':
+		n.inString = true
+	case '[', '{':
+		n.depth++
+	case ']', '}':
+		n.depth--
+	}
+}
--- a/savorycore/savorywire/depth.go
+++ b/savorycore/savorywire/depth.go
@@ -50,6 +50,28 @@
 	return nil
 }
 
+// layout is how the values of a code are encoded after it: the size of the bytes that follow
+// in any case, the width of the length, and the number of values for each unit of the length,
+// 0 if the length counts bytes.
+type layout struct {
+	fixed  uint64
+	width  uint64
+	values uint64
+}
+
+var layouts = map[byte]layout{
+	msgpcode.Uint8: {fixed: 1}, msgpcode.Uint16: {fixed: 2}, msgpcode.Uint32: {fixed: 4}, msgpcode.Uint64: {fixed: 8},
+	msgpcode.Int8: {fixed: 1}, msgpcode.Int16: {fixed: 2}, msgpcode.Int32: {fixed: 4}, msgpcode.Int64: {fixed: 8},
+	msgpcode.Float: {fixed: 4}, msgpcode.Double: {fixed: 8},
+	// Extensions have a type of one byte.
+	msgpcode.FixExt1: {fixed: 2}, msgpcode.FixExt2: {fixed: 3}, msgpcode.FixExt4: {fixed: 5}, msgpcode.FixExt8: {fixed: 9}, msgpcode.FixExt16: {fixed: 17},
+	msgpcode.Ext8: {fixed: 1, width: 1}, msgpcode.Ext16: {fixed: 1, width: 2}, msgpcode.Ext32: {fixed: 1, width: 4},
+	msgpcode.Str8: {width: 1}, msgpcode.Str16: {width: 2}, msgpcode.Str32: {width: 4},
+	msgpcode.Bin8: {width: 1}, msgpcode.Bin16: {width: 2}, msgpcode.Bin32: {width: 4},
+	msgpcode.Array16: {width: 2, values: 1}, msgpcode.Array32: {width: 4, values: 1},
+	msgpcode.Map16: {width: 2, values: 2}, msgpcode.Map32: {width: 4, values: 2},
+}
+
 // header returns the size of a value in bytes, without the values inside it, and their
 // number.
 func header(body []byte) (size, values uint64, err error) {
@@ -67,46 +89,16 @@
 	case msgpcode.IsFixedString(c):
 		return 1 + uint64(c&msgpcode.FixedStrMask), 0, nil
 	}
-	// width is the size of the length that follows the code, extra that of the type of an
-	// extension.
-	width, extra := uint64(0), uint64(0)
-	switch c {
-	case msgpcode.Uint8, msgpcode.Int8:
-		return 2, 0, nil
-	case msgpcode.Uint16, msgpcode.Int16:
-		return 3, 0, nil
-	case msgpcode.Uint32, msgpcode.Int32, msgpcode.Float:
-		return 5, 0, nil
-	case msgpcode.Uint64, msgpcode.Int64, msgpcode.Double:
-		return 9, 0, nil
-	case msgpcode.FixExt1, msgpcode.FixExt2, msgpcode.FixExt4, msgpcode.FixExt8, msgpcode.FixExt16:
-		return 2 + 1<<(c-msgpcode.FixExt1), 0, nil
-	case msgpcode.Str8, msgpcode.Bin8:
-		width = 1
-	case msgpcode.Str16, msgpcode.Bin16, msgpcode.Array16, msgpcode.Map16:
-		width = 2
-	case msgpcode.Str32, msgpcode.Bin32, msgpcode.Array32, msgpcode.Map32:
-		width = 4
-	case msgpcode.Ext8:
-		width, extra = 1, 1
-	case msgpcode.Ext16:
-		width, extra = 2, 1
-	case msgpcode.Ext32:
-		width, extra = 4, 1
-	default:
-		return 1, 0, nil // nil, a Boolean, or a code that the decoder refuses
-	}
-	if uint64(len(body)) < 1+width {
+	// A code without a layout is nil, a Boolean, or one that the decoder refuses.
+	l := layouts[c]
+	if uint64(len(body)) < 1+l.width {
 		return 0, 0, errTruncated
 	}
 	var length [8]byte
-	copy(length[8-width:], body[1:1+width])
+	copy(length[8-l.width:], body[1:1+l.width])
 	n := binary.BigEndian.Uint64(length[:])
-	switch c {
-	case msgpcode.Array16, msgpcode.Array32:
-		return 1 + width, n, nil
-	case msgpcode.Map16, msgpcode.Map32:
-		return 1 + width, 2 * n, nil
+	if l.values > 0 {
+		return 1 + l.width, n * l.values, nil
 	}
-	return 1 + width + extra + n, 0, nil
+	return 1 + l.fixed + l.width + n, 0, nil
 }
--- a/savoryentry/savorygate/notice_test.go
+++ b/savoryentry/savorygate/notice_test.go
@@ -16,7 +16,9 @@
 func TestUrgentRequestsWaitLonger(t *testing.T) {
 	shares := []savoryrouting.Share{{Service: "s", Weight: 1}}
 	cfg := &savoryrouting.Config{Routes: []savoryrouting.Route{
-		{Name: "urgent", Priority: 1, Shares: shares}, {Name: "usual", Priority: 2, Shares: shares}, {Name: "seldom", Priority: 9, Shares: shares},
+		{Name: "urgent", Priority: 1, Shares: shares},
+		{Name: "usual", Priority: 2, Shares: shares},
+		{Name: "seldom", Priority: 9, Shares: shares},
 		{Name: "other", Priority: 0, Shares: []savoryrouting.Share{{Service: "t", Weight: 1}}},
 	}}
 	for _, c := range []struct {
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -61,26 +61,12 @@
 			c.failHeld(err)
 			return
 		}
-		now := c.g.now()
-		choice, err := c.g.view.chooseServer(c.service.Name, tried, c.maxDelay(), now)
+		choice, err := c.chooseServer(tried)
 		if err != nil {
 			c.returnTrial()
 			c.failPlain(err, refusals > 0)
 			return
 		}
-		if !c.awaitTurn(choice.server.ID, choice.delay) {
-			c.g.view.endServerRequest(choice.server.ID)
-			c.g.view.unsent(choice.server.ID)
-			c.g.endAttempt(c.prompt)
-			if c.callerLeft() || !now.Before(c.deadline) {
-				c.failPlain(errNotTaken, refusals > 0)
-				return
-			}
-			continue
-		}
-		c.logDecision(log.Fields{
-			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
-		}, "server chosen")
 		res := c.sendPlain(choice, tried, runs+1 < c.route.Attempts)
 		c.g.endAttempt(c.prompt)
 		if res.response != nil && res.err == nil && res.verdict == savoryverdict.Ran {
@@ -109,6 +95,28 @@
 	}
 }
 
+// chooseServer chooses a server that is not in tried, and waits until it takes the request.
+func (c *call) chooseServer(tried map[string]bool) (serverChoice, error) {
+	for {
+		now := c.g.now()
+		choice, err := c.g.view.chooseServer(c.service.Name, tried, c.maxDelay(), now)
+		if err != nil {
+			return choice, err
+		}
+		c.logDecision(log.Fields{
+			"server": choice.server.ID, "runnerUp": choice.runnerUp, "flights": choice.inFlight, "slots": choice.slots, "avoided": choice.triedCount,
+		}, "server chosen")
+		if c.awaitTurn(choice.server.ID, choice.delay) {
+			return choice, nil
+		}
+		c.g.view.endServerRequest(choice.server.ID)
+		c.g.view.unsent(choice.server.ID)
+		if c.callerLeft() || !now.Before(c.deadline) {
+			return choice, errNotTaken
+		}
+	}
+}
+
 // checkPlainEnd checks whether a server has ended under a request of which it gave no whole
 // answer, if the request shares something with others.
 func (c *call) checkPlainEnd(s savoryroster.Server, res plainResult) {
@@ -212,16 +220,7 @@
 	response, err := c.g.serverClient.Do(ctx, choice.server.Address, req)
 	if err != nil {
 		cancel()
-		verdict := savoryverdict.MayHaveRun
-		var failure *savoryconn.Error
-		if errors.As(err, &failure) {
-			verdict = failure.Verdict
-		}
-		if notSent(err) {
-			c.g.view.unsent(id)
-		}
-		c.recordFailure(id, err)
-		return plainResult{err: err, verdict: verdict, server: id}
+		return c.failedSend(id, err)
 	}
 	info := c.g.Dialect.ReadResponse(response.StatusCode, response.Header)
 	c.g.observeResponse(id, sentAt, info)
@@ -256,6 +255,20 @@
 	return res
 }
 
+// failedSend records that a send failed without a response.
+func (c *call) failedSend(id string, err error) plainResult {
+	verdict := savoryverdict.MayHaveRun
+	var failure *savoryconn.Error
+	if errors.As(err, &failure) {
+		verdict = failure.Verdict
+	}
+	if notSent(err) {
+		c.g.view.unsent(id)
+	}
+	c.recordFailure(id, err)
+	return plainResult{err: err, verdict: verdict, server: id}
+}
+
 // readStart reads the beginning of the response's body, or all of it if it is not large. An
 // event stream that broke off is an error.
 func (c *call) readStart(res *plainResult) error {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -11,7 +11,6 @@
 	"maps"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -105,6 +104,7 @@
 		if !s.awaitTurn(choice.Chain[0].Server, choice.Delay) {
 			c.g.view.dropChain(c.service.Name, choice.Chain, s.tokens)
 			c.g.endAttempt(c.prompt)
+			s.returnTrial()
 			if c.callerLeft() || !c.g.now().Before(c.deadline) {
 				s.failNoChain(errNotTaken)
 				return
@@ -313,14 +313,15 @@
 		s.failHeld(err)
 		return
 	}
+	if !s.mayHaveRun && (errors.Is(err, savorypath.ErrNotTaken) || errors.Is(err, errNotTaken)) {
+		s.fail(s.notTaken(err))
+		return
+	}
 	retryAfter := unavailableRetryDelay
 	if errors.Is(err, savorypath.ErrFull) {
 		retryAfter = s.memoryRetryDelay()
 	}
 	e := savoryverdict.Unavailable("NoChain", retryAfter, "no chain of service %s is free", s.service.Name)
-	if errors.Is(err, savorypath.ErrNotTaken) || errors.Is(err, errNotTaken) {
-		e = s.notTaken(err)
-	}
 	if s.mayHaveRun {
 		e = savoryverdict.Wrap(err)
 	}
@@ -428,86 +429,6 @@
 	a.copyEvents(ctx)
 }
 
-// errForeignResponse is the failure of an engine whose response does not continue the stream.
-var errForeignResponse = errors.New("the response does not continue the stream")
-
-// recordForeign records a response that does not continue the stream. Nothing of it is
-// passed on.
-func (a *attempt) recordForeign(ctx context.Context, err error) {
-	a.g.view.recordFailure(a.chain[0].Server, false, a.g.now())
-	a.recordError(ctx, err)
-}
-
-// recordError records an error of the chain, and excludes the engine at fault
-// from further chains.
-func (a *attempt) recordError(ctx context.Context, err error) {
-	a.verdict = savoryverdict.MayHaveRun
-	var failure *savoryconn.Error
-	if errors.As(err, &failure) {
-		a.verdict = failure.Verdict
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	a.err = err
-	if a.verdict != savoryverdict.NotRun {
-		a.recordMayHaveRun(a.chain[0])
-	}
-	if failure != nil && failure.NotSent() {
-		a.recordUnsent()
-		a.g.view.unsent(a.chain[0].Server)
-	}
-	if a.callerLeft() || errors.Is(err, errDeadline) || errors.Is(err, errQuarantined) {
-		return
-	}
-	a.log.WithError(err).WithFields(log.Fields{
-		"path": a.watch.currentChain().String(), "events": a.eventCount, "sinceEventMs": a.g.now().Sub(a.lastEventAt).Milliseconds(), "verdict": string(a.verdict),
-		"headArrived": a.response != nil, "parts": strings.Join(a.caller.PromptParts, ","),
-	}).Info("chain failed")
-	a.checkEnded()
-	switch {
-	case failure != nil && failure.NotSent():
-		a.g.view.recordFailure(a.chain[0].Server, failure.ServerGone(), a.g.now())
-		a.avoidServer(a.chain[0].Server)
-	case errors.Is(err, errStalled):
-		// The stallWatch has already recorded the failure of the engine that
-		// it found.
-	default:
-		a.avoidServer(a.chain[0].Server)
-	}
-}
-
-// readRefusal reads a response that is not a stream, and excludes the engine at
-// fault from further chains.
-func (a *attempt) readRefusal(info ResponseInfo) {
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes))
-	a.errorBody = body
-	a.err = statusError(a.response.StatusCode)
-	fault := serverAt(a.chain, info.Fault)
-	a.log.WithFields(log.Fields{
-		"path": a.chain.String(), "status": a.response.StatusCode, "notRun": info.NotRun, "fault": fault,
-	}).Info("chain refused the request")
-	if info.NotRun {
-		a.verdict = savoryverdict.NotRun
-		if fault == "" {
-			fault = a.chain[0].Server
-		}
-		a.avoidServer(fault)
-		if info.Notice.Pause > 0 && fault == a.chain[0].Server {
-			// The engine works, and has said when it takes requests again.
-			return
-		}
-		a.g.checkRefusal(a.log, a.service, fault, a.chain)
-		return
-	}
-	a.recordMayHaveRun(a.chain[0])
-	a.verdict = savoryverdict.MayHaveRun
-	a.avoidServer(a.chain[0].Server)
-	if err != nil {
-		a.errorBody, a.err = nil, err
-	}
-}
-
 // copyEvents passes events on to the caller as they arrive.
 func (a *attempt) copyEvents(ctx context.Context) {
 	buf := make([]byte, streamBufferBytes)
--- /dev/null
+++ b/savoryentry/savorygate/sync.go
@@ -0,0 +1,173 @@
+package savorygate
+
+// This file exchanges state with the peers that relay selects.
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savorynotice"
+	"savorycart.example/savorycore/savorypeer"
+)
+
+// wakeSync starts the next round of exchanges at once.
+func (g *Gate) wakeSync() {
+	select {
+	case g.relay.wake <- struct{}{}:
+	default:
+	}
+}
+
+// forwardToZone starts a round at once if this entry is the leader of its zone in a
+// large fleet, so that a change from a peer reaches the entries of the zone.
+func (g *Gate) forwardToZone() {
+	g.relay.mu.Lock()
+	forward := g.relay.large() && g.relay.isLeader(g.now())
+	g.relay.mu.Unlock()
+	if forward {
+		g.wakeSync()
+	}
+}
+
+// runSync exchanges state with peers in rounds.
+func (g *Gate) runSync() error {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		urgent := false
+		select {
+		case <-g.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		case <-g.relay.wake:
+			urgent = true
+		}
+		g.updateQuarantine()
+		for _, address := range g.relay.targets(g.now(), urgent) {
+			known, ok := g.relay.beginCall(address)
+			if !ok {
+				continue
+			}
+			go g.syncWith(address, known)
+		}
+	}
+}
+
+// syncWith exchanges state with one peer. known is as returned by beginCall.
+func (g *Gate) syncWith(address netip.AddrPort, known *savorypeer.Versions) {
+	defer g.relay.endCall(address)
+	sent, startedAt := g.syncState(g.relay.entry(address), known), g.now()
+	state, err := g.peerClient.Sync(g.ctx, address, sent)
+	g.metrics.peerCalls.WithLabelValues("sync", resultOf(err)).Inc()
+	if err != nil {
+		if g.ctx.Err() == nil {
+			g.logFailedCall(address, sent, g.now().Sub(startedAt), err)
+		}
+		return
+	}
+	g.applySyncState(state)
+}
+
+// logFailedCall logs a failed call to a peer, the first after a contact at info level:
+// with the versions and whether a configuration was sent, it tells a peer that is gone
+// from a message that takes too long.
+func (g *Gate) logFailedCall(address netip.AddrPort, sent *savorypeer.SyncState, took time.Duration, err error) {
+	peerConfig, first := g.relay.recordFailedCall(address)
+	logger := g.Log.WithError(err).WithFields(log.Fields{
+		"peer": address.String(), "tookMs": took.Milliseconds(), "config": sent.Known.Config, "peerConfig": peerConfig, "configSent": sent.Config != nil,
+	})
+	if first {
+		logger.Info("peer did not respond")
+		return
+	}
+	logger.Debug("peer did not respond")
+}
+
+// resultOf returns the label of a call's result.
+func resultOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
+
+// handleSync records a peer's state and returns this entry's.
+func (g *Gate) handleSync(_ context.Context, s *savorypeer.SyncState) (*savorypeer.SyncState, error) {
+	g.applySyncState(s)
+	return g.syncState(s.From, &s.Known), nil
+}
+
+// syncState returns this entry's state for a peer that has the known versions. With
+// nil the state carries no list: a large one would be sent for nothing to peers that do
+// not respond. The peer's own state reports what it lacks.
+func (g *Gate) syncState(to savorypeer.Entry, known *savorypeer.Versions) *savorypeer.SyncState {
+	now := g.now()
+	listing, own := g.view.listForPeers(now)
+	cfg := g.config()
+	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
+	state := &savorypeer.SyncState{
+		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
+		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
+		Known: own,
+	}
+	state.Known.StoreEra, state.Known.FetchesConfig = g.storeEra.Load(), true
+	if cfg != nil {
+		state.Known.Config = cfg.Version
+		if known != nil && known.Config < cfg.Version && !known.FetchesConfig {
+			state.Config = cfg
+		}
+	}
+	if known != nil && !listing.Position().Before(known.ListPosition()) && own.ListPrint != known.ListPrint {
+		state.Listing = listing
+	}
+	for id, age := range g.view.recentFailures(now) {
+		state.Faults = append(state.Faults, savorypeer.ServerFailure{Server: id, Age: age})
+	}
+	state.Slowdowns = g.view.recentSlowdowns(now)
+	notices, demands := g.view.noticesForPeers(now)
+	state.Demands = g.relay.demandsFor(to, demands, now)
+	state.Known.TracksNotices, state.Known.NoticePrint = true, savorynotice.Fingerprint(notices)
+	if known != nil && known.TracksNotices && known.NoticePrint != state.Known.NoticePrint {
+		state.Notices = notices
+	}
+	state.Known.TracksPrompts = true
+	state.Known.PromptPrint, state.Quarantine = g.quarantineState(known)
+	return state
+}
+
+// applySyncState applies the state received from a peer, and forwards it if it
+// changes anything.
+func (g *Gate) applySyncState(s *savorypeer.SyncState) {
+	now := g.now()
+	if g.relay.recordState(s, now) {
+		g.Log.WithFields(log.Fields{"peer": s.From.Address.String(), "zone": s.From.Zone, "config": s.Known.Config}).Info("contact with peer established")
+	}
+	g.ObserveStoreEra(s.Known.StoreEra)
+	changed := s.Config != nil && g.setConfig(s.Config, "peer")
+	switch {
+	case s.Listing != nil:
+		changed = g.applyList(s.Listing, reading{id: s.Known.ListReading, at: now.Add(-s.Known.ListAge)}, "peer") || changed
+	case s.Known.ListRevision > 0:
+		g.view.confirmList(s.Known, now)
+	}
+	g.view.setPeerLoads(g.relay.loads(now), now)
+	g.view.setPeerDemands(g.relay.demands(now))
+	changed = g.recordNotices(g.view.mergeNotices(s.Notices, now), "peer") || changed
+	for _, f := range s.Faults {
+		if g.view.recordPeerFailure(f.Server, now.Add(-f.Age)) {
+			changed = true
+			g.Log.WithFields(log.Fields{"server": f.Server, "peer": s.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided after a failure report from a peer")
+		}
+	}
+	g.view.applySlowdowns(s.Slowdowns, now, g.config())
+	changed = g.mergeQuarantine(s.Quarantine) || changed
+	if changed {
+		g.forwardToZone()
+	}
+	if s.Known.FetchesConfig {
+		g.startFetch(s.From.Address, s.Known.Config)
+	}
+}
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -237,13 +237,6 @@
 	}
 }
 
-func callerLeftError(err error) error {
-	return &savoryverdict.Error{
-		Verdict: savoryverdict.MayHaveRun, Status: http.StatusBadRequest, Code: "CallerLeft",
-		Message: "the caller left before the answer was complete", Err: err,
-	}
-}
-
 // awaitRetry reports whether the request gets another attempt after err, and
 // waits until it may begin. A begun answer cannot be refused any more, so it
 // does not depend on the retry budget: if the budget is used up or there is
@@ -476,39 +469,6 @@
 	})
 }
 
-// failureError converts the last error of a request to the error for the
-// caller. The verdict is NotRun only if no attempt may have run.
-func (p *pipelineRunner) failureError(g *generation, err error) error {
-	var refused *savoryverdict.Error
-	if errors.As(err, &refused) {
-		return refused
-	}
-	if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) && !g.mayHaveRun {
-		return limitedError(limited)
-	}
-	var overload *savorychain.OverloadError
-	if errors.As(err, &overload) {
-		return savoryverdict.Unavailable("Overloaded", max(minOverloadRetryAfter, overload.RetryAfter()), "%v", overload)
-	}
-	verdict := savoryverdict.MayHaveRun
-	var fault *savoryengine.Error
-	noChain := errors.Is(err, savorychain.ErrNoChain)
-	notRun := noChain || (errors.As(err, &fault) && fault.Verdict == savoryverdict.NotRun)
-	if notRun && !g.mayHaveRun {
-		verdict = savoryverdict.NotRun
-	}
-	failure := &savoryverdict.Error{
-		Verdict: verdict, Status: http.StatusBadGateway, Code: "PipelineFailed",
-		Message: "the pipeline failed; the answer is incomplete", RetryAfter: minOverloadRetryAfter, Err: err,
-	}
-	if noChain {
-		failure.Status = http.StatusServiceUnavailable
-		failure.Code = "NoChain"
-		failure.Message = "no chain of backend servers is available"
-	}
-	return failure
-}
-
 // firstTokenTimeout returns the time that an attempt may take to its first
 // token.
 func (p *pipelineRunner) firstTokenTimeout(g *generation, choice savorychain.Choice) time.Duration {
