--- a/savorycore/savorylimit/limiter.go
+++ b/savorycore/savorylimit/limiter.go
@@ -251,7 +251,7 @@
 	}
 	settledShare := reserveFraction/n + (1-reserveFraction)*u.announced/(others+u.announced)
 	current := u.demandRate(now)
-	if current <= u.announced+phaseRequests*demandPerRequest {
+	if current <= steadyFactor*u.announced {
 		return settledShare
 	}
 	// Demand that the peers have not received yet counts up to two even shares,
@@ -291,10 +291,10 @@
 // demandPerRequest is what one request adds to the average demand, in requests per second.
 var demandPerRequest = math.Ln2 / demandHalfLife.Seconds()
 
-// phaseRequests is the number of requests by which a steady demand may differ from the
-// announced one: the average is read before a request for the announcement, and after one
-// for an admission.
-const phaseRequests = 2
+// steadyFactor is the multiple of the announced demand up to which a demand counts as
+// steady: the average is read before a request for the announcement, and after one for an
+// admission. It covers that request from 14 requests per second on.
+const steadyFactor = 1.05
 
 // recordArrival adds an arriving request to the average demand.
 func (u *usage) recordArrival(now time.Time) {
--- a/savorycore/savorylimit/limiter_test.go
+++ b/savorycore/savorylimit/limiter_test.go
@@ -259,3 +259,18 @@
 	f.End("small")
 	is.Equal(f.AdmissionFraction("large"), 1.0)
 }
+
+// Guards against an entry that has just started and refuses the second request of a customer
+// whose requests go to another entry as well.
+func TestStartedEntryAdmitsFirstRequests(t *testing.T) {
+	is := is.New(t)
+	l := &Limiter{Entry: "e0"}
+	l.SetEntries([]string{"e0", "e1", "e2"})
+	l.SetPeerDemands("e1", []Demand{{Customer: contract.Name, Rate: 0.5}})
+	low := &savoryworld.Customer{Name: contract.Name, Contract: savoryworld.Contract{RequestsPerSecond: 10}}
+	now := time.Unix(1000, 0)
+	for range 3 {
+		is.NoErr(l.Admit(low, 0, now))
+		now = now.Add(100 * time.Millisecond)
+	}
+}
