--- a/savorycore/savorynotice/board.go
+++ b/savorycore/savorynotice/board.go
@@ -54,7 +54,7 @@
 	limitedAt time.Time
 	// inReports is set once a report has stated a limit: a later one without it ends it.
 	inReports bool
-	// since is when the limit began, for the log.
+	// since is when the limit began or ended.
 	since       time.Time
 	pausedUntil time.Time
 	leaving     bool
@@ -158,6 +158,9 @@
 			s.level = 1
 		}
 	}
+	if limit == 0 {
+		s.since = now
+	}
 	s.limit, s.limitAt = limit, at
 	switch limit {
 	case old:
@@ -211,7 +214,7 @@
 }
 
 // States returns the limits to pass on to peers, sorted by server: those in force and those
-// that have ended lately.
+// that have ended lately, at most maxSharedStates that began or ended last.
 func (b *Board) States(now time.Time) []State {
 	var states []State
 	for id, s := range b.servers {
@@ -219,18 +222,26 @@
 			states = append(states, State{Server: id, Born: s.born, Limit: s.limit, InReports: s.inReports, Age: max(0, now.Sub(s.limitAt))})
 		}
 	}
+	if len(states) > maxSharedStates {
+		// The others may be new to peers.
+		slices.SortFunc(states, func(x, y State) int {
+			return cmp.Or(b.servers[y.Server].since.Compare(b.servers[x.Server].since), cmp.Compare(x.Server, y.Server))
+		})
+		states = states[:maxSharedStates]
+	}
 	slices.SortFunc(states, func(x, y State) int { return cmp.Compare(x.Server, y.Server) })
-	return states[:min(len(states), maxStates)]
+	return states
 }
 
-// Fingerprint returns a hash of states without their ages, 0 if there are none.
+// Fingerprint returns a hash of states without their ages, 0 if there are none. Limits that
+// differ by little count as equal: a server may state another one in each response.
 func Fingerprint(states []State) uint64 {
 	if len(states) == 0 {
 		return 0
 	}
 	d := xxhash.New()
 	for _, s := range states {
-		_, _ = fmt.Fprintf(d, "%s|%d|%g|%t;", s.Server, s.Born.UnixMilli(), s.Limit, s.InReports)
+		_, _ = fmt.Fprintf(d, "%s|%d|%.1e|%t;", s.Server, s.Born.UnixMilli(), s.Limit, s.InReports)
 	}
 	return d.Sum64()
 }
--- a/savorycore/savorynotice/board_test.go
+++ b/savorycore/savorynotice/board_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savorywire"
 )
 
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -172,3 +174,26 @@
 	is.Equal(len(b.Demands(begin.Add(time.Hour))), 0)
 	is.Equal(len(b.demands), 0)
 }
+
+// Guards against messages between entries that grow with the number of limited servers, or
+// that are sent again for each small change of a limit.
+func TestSharedStatesAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := &Board{Entry: "e0"}
+	for i := range 7200 {
+		b.Observe(fmt.Sprintf("i-%010d", i), begin, begin, begin.Add(time.Duration(i)*time.Millisecond), Notice{Limit: 15.8})
+	}
+	now := begin.Add(10 * time.Second)
+	states := b.States(now)
+	is.Equal(len(states), maxSharedStates)
+	is.Equal(states[len(states)-1].Server, "i-0000007199") // the newest
+	body, err := savorywire.Encode(states)
+	is.NoErr(err)
+	t.Log(len(body))
+	is.True(len(body) <= 80<<10)
+	before := Fingerprint(states)
+	b.Observe("i-0000007199", begin, now, now, Notice{Limit: 15.6})
+	is.Equal(Fingerprint(b.States(now)), before)
+	b.Observe("i-0000007199", begin, now, now, Notice{Limit: 9})
+	is.True(Fingerprint(b.States(now)) != before)
+}
--- a/savorycore/savorynotice/notice.go
+++ b/savorycore/savorynotice/notice.go
@@ -26,6 +26,8 @@
 	// maxStates bounds the limits in one message and on a Board: twice the servers of the
 	// largest fleet.
 	maxStates = 16384
+	// maxSharedStates is the number of limits that entries pass on: 80 KB in a message.
+	maxSharedStates = 1024
 )
 
 // Notice is what one response states about the server that sent it.
