--- a/savorycore/savorynotice/board.go
+++ b/savorycore/savorynotice/board.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 	// endedTTL is how long the end of a limit is passed on to peers: until all entries
 	// have learned of it through the leaders of zones.
 	endedTTL = 10 * time.Second
+	// minChange is the fraction by which a limit must differ from the last one that was
+	// logged, since a server may state another one in each response.
+	minChange = 0.1
 	// leavingTTL is how long a server counts as leaving that says so no more and that the
 	// list does not remove. Leaving servers serve for seconds.
 	leavingTTL = 10 * time.Minute
@@ -52,6 +56,8 @@
 	limit     float64
 	limitAt   time.Time
 	limitedAt time.Time
+	// told is the limit in the last Change.
+	told float64
 	// inReports is set once a report has stated a limit: a later one without it ends it.
 	inReports bool
 	// since is when the limit began or ended.
@@ -162,12 +168,14 @@
 		s.since = now
 	}
 	s.limit, s.limitAt = limit, at
-	switch limit {
-	case old:
-		return nil
-	case 0:
+	switch {
+	case limit == 0:
+		s.told = 0
 		return []Change{{Server: id, Kind: "no limit"}}
+	case math.Abs(limit-s.told) <= minChange*s.told:
+		return nil
 	}
+	s.told = limit
 	return []Change{{Server: id, Kind: "limit", Limit: limit}}
 }
 
--- a/savorycore/savorynotice/board_test.go
+++ b/savorycore/savorynotice/board_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -197,3 +198,46 @@
 	b.Observe("i-0000007199", begin, now, now, Notice{Limit: 9})
 	is.True(Fingerprint(b.States(now)) != before)
 }
+
+// Guards against a log line for each response of a server whose limit varies a little.
+func TestSmallChangesAreNoChanges(t *testing.T) {
+	is := is.New(t)
+	b := &Board{Entry: "e0"}
+	changes := 0
+	for i := range 100 {
+		now := begin.Add(time.Duration(i) * 2 * time.Second)
+		changes += len(b.Observe("s", begin, now, now, Notice{Limit: 15.6 + 0.01*float64(i%2)}))
+	}
+	is.Equal(changes, 1)
+	// A slow decline is not missed.
+	for i := range 100 {
+		now := begin.Add(time.Hour + time.Duration(i)*time.Second)
+		changes += len(b.Observe("s", begin, now, now, Notice{Limit: 15 * math.Pow(0.98, float64(i))}))
+	}
+	is.True(changes > 10 && changes < 40)
+}
+
+// Guards against callers that an entry tells to stay away because other entries share the
+// limit: they come back to any entry.
+func TestReturnToEntryThatSharesLimit(t *testing.T) {
+	is := is.New(t)
+	b := &Board{Entry: "e0"}
+	var others []string
+	for i := range 60 {
+		others = append(others, fmt.Sprint("e", i))
+	}
+	b.SetEntries(others)
+	refused := 0
+	for i := range 20 {
+		id := fmt.Sprint("s", i)
+		b.Observe(id, begin, begin, begin, Notice{Limit: 30})
+		if _, ok := b.Delay("app", id, begin); ok {
+			continue
+		}
+		refused++
+		service := "app" + id
+		is.Equal(b.ReturnDelay(service, []string{id}, begin), time.Duration(0))
+		is.Equal(b.ReturnDelay(service, []string{id}, begin), 2*time.Second) // 60 entries share 30 a second
+	}
+	is.True(refused > 0)
+}
--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -211,23 +211,27 @@
 	return 0
 }
 
-// ReturnDelay returns when a refused caller of a service may come back, given the servers of
+// ReturnDelay returns the time after which a refused caller of a service may come back, given the servers of
 // the service that work. Callers that are refused one after the other get later times, at the
 // rate at which this entry may send.
 func (b *Board) ReturnDelay(service string, servers []string, now time.Time) time.Duration {
 	first, total := maxReturnDelay, 0.0
 	for _, id := range servers {
 		wait, ok := b.Delay(service, id, now)
-		if !ok {
+		s := b.servers[id]
+		switch {
+		case !ok && s.leaving:
 			continue
-		}
-		first = min(first, wait)
-		if s := b.servers[id]; s != nil && s.limit > 0 {
+		case !ok:
+			// The caller comes back to any entry, also to one that shares the limit.
+			total += s.limit / float64(max(1, len(b.entries)))
+		case s != nil && s.limit > 0:
 			rate, _ := b.rate(service, id, s, now)
 			total += rate
-		} else {
+		default:
 			total = math.Inf(1)
 		}
+		first = min(first, wait)
 	}
 	spacing := returnSpacing
 	if total > 0 {
