--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -212,7 +212,11 @@
 	}
 	c.g.metrics.noticeWait.Observe(delay.Seconds())
 	c.logDecision(log.Fields{"server": server, "delayMs": delay.Milliseconds()}, "request waits for the limit or pause of the server")
-	return c.wait(delay) && c.g.view.takesRequests(server, c.g.now())
+	if !c.wait(delay) || !c.g.view.takesRequests(server, c.g.now()) {
+		return false
+	}
+	// A part of the prompt may have been quarantined meanwhile.
+	return c.trial || !c.g.quarantined(c.prompt)
 }
 
 // notTaken returns the refusal of a request for which no server takes it in time.
--- a/savoryentry/savorygate/notice_test.go
+++ b/savoryentry/savorygate/notice_test.go
@@ -1,12 +1,18 @@
 package savorygate
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"savorycart.example/savorycore/savorynotice"
+	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryroster"
 	"savorycart.example/savorycore/savoryrouting"
 )
@@ -92,3 +98,49 @@
 		}
 	}
 }
+
+// Guards against a request that is sent after its wait although its server left or asked for
+// a pause meanwhile, or a part of its prompt was quarantined.
+func TestTurnIsLost(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now().Add(-time.Minute)
+	part := savoryquarantine.Part{Service: "s", Model: "m", ID: "bad"}
+	g := &Gate{metrics: newMetrics(func() int64 { return 0 })}
+	for i := range 5 {
+		end := begin.Add(time.Duration(i) * 200 * time.Millisecond)
+		s := savoryquarantine.Server{ID: fmt.Sprint("e", i), Born: begin, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))}
+		g.quarantine.tracker.RecordEnd(s, savoryquarantine.Prompt{Owner: uint64(i), Parts: []savoryquarantine.Part{part}}, true, end)
+	}
+	bad := savoryquarantine.Prompt{Owner: 9, Parts: []savoryquarantine.Part{part}}
+	is.Equal(g.quarantine.tracker.Admit(bad, 0, false, begin.Add(10*time.Second)).Decision, savoryquarantine.Refuse)
+	now := time.Now()
+	g.view.applyList(&savoryroster.Listing{Revision: 1, Servers: []savoryroster.Server{
+		{ID: "sound", Service: "s", Beat: 1}, {ID: "leaving", Service: "s", Beat: 1, Leaving: true}, {ID: "paused", Service: "s", Beat: 1},
+	}}, reading{id: 1, at: now}, now, nil)
+	g.view.observe("paused", now, now, savorynotice.Notice{Pause: time.Minute}, nil)
+	const delay = 10 * time.Millisecond
+	for _, c := range []struct {
+		server string
+		prompt savoryquarantine.Prompt
+		trial  bool
+		left   bool
+		want   bool
+	}{
+		{server: "sound", want: true},
+		{server: "sound", prompt: bad},
+		{server: "sound", prompt: bad, trial: true, want: true},
+		{server: "sound", left: true},
+		{server: "leaving"},
+		{server: "paused"},
+		{server: "gone"},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		if c.left {
+			cancel()
+		}
+		r := httptest.NewRequest(http.MethodGet, "/", nil).WithContext(ctx)
+		call := &call{g: g, r: r, deadline: time.Now().Add(time.Minute), prompt: c.prompt, trial: c.trial}
+		is.Equal(call.awaitTurn(c.server, delay), c.want)
+		cancel()
+	}
+}
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -57,14 +57,9 @@
 	tried := make(map[string]bool)
 	runs, refusals := 0, 0
 	for {
-		if err := c.admit(c.wait); err != nil {
-			c.failHeld(err)
-			return
-		}
 		choice, err := c.chooseServer(tried)
 		if err != nil {
-			c.returnTrial()
-			c.failPlain(err, refusals > 0)
+			c.failUnsent(err, refusals > 0)
 			return
 		}
 		res := c.sendPlain(choice, tried, runs+1 < c.route.Attempts)
@@ -96,8 +91,12 @@
 }
 
 // chooseServer chooses a server that is not in tried, and waits until it takes the request.
+// The error is errNoServer, errNotTaken, or that of admit.
 func (c *call) chooseServer(tried map[string]bool) (serverChoice, error) {
 	for {
+		if err := c.admit(c.wait); err != nil {
+			return serverChoice{}, err
+		}
 		now := c.g.now()
 		choice, err := c.g.view.chooseServer(c.service.Name, tried, c.maxDelay(), now)
 		if err != nil {
@@ -111,12 +110,24 @@
 		}
 		c.g.view.endServerRequest(choice.server.ID)
 		c.g.view.unsent(choice.server.ID)
+		c.g.endAttempt(c.prompt)
+		c.returnTrial()
 		if c.callerLeft() || !now.Before(c.deadline) {
 			return choice, errNotTaken
 		}
 	}
 }
 
+// failUnsent ends a request after an error of chooseServer.
+func (c *call) failUnsent(err error, refused bool) {
+	if !errors.Is(err, errNoServer) && !errors.Is(err, errNotTaken) {
+		c.failHeld(err)
+		return
+	}
+	c.returnTrial()
+	c.failPlain(err, refused)
+}
+
 // checkPlainEnd checks whether a server has ended under a request of which it gave no whole
 // answer, if the request shares something with others.
 func (c *call) checkPlainEnd(s savoryroster.Server, res plainResult) {
