--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -211,9 +211,9 @@
 	return 0
 }
 
-// ReturnDelay returns the time after which a refused caller of a service may come back, given the servers of
-// the service that work. Callers that are refused one after the other get later times, at the
-// rate at which this entry may send.
+// ReturnDelay returns the time after which a refused caller of a service may come back, at
+// most maxReturnDelay, given the servers of the service that work. Callers that are refused
+// one after the other get later times, at the rate at which this entry may send.
 func (b *Board) ReturnDelay(service string, servers []string, now time.Time) time.Duration {
 	first, total := maxReturnDelay, 0.0
 	for _, id := range servers {
