review: show a stream of a plain service that a crash cuts unnoticed (case 5)

Callers saw event streams of status 200 end as complete with 3 to 23 of 25 events (ORDER). Order of events: a resumable streaming route goes to a service without engines; answers have no length; a worker process is killed; the kernel closes its streams between two events without a reset; the entry takes bytes that end with an event as a whole stream.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-(cd review/standin && GOWORK=off go build -o ../../target/review/standin .)
+(cd review/standin && GOWORK=off go build -buildvcs=false -o ../../target/review/standin .)
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -18,6 +18,7 @@
 	cases["stream-ended-early"] = streamEndedEarly
 	cases["failure-cut"] = failureCut
 	cases["stream-crash"] = streamCrash
+	cases["plain-stream-crash"] = plainStreamCrash
 }
 
 const (
@@ -289,3 +290,35 @@
 	}
 	return broken, nil
 }
+
+// plainStreamCrash: a worker of a service without engines crashes while it writes event
+// streams without a length.
+func plainStreamCrash(ctx context.Context, f *fleet) ([]string, error) {
+	const (
+		events = 25
+		victim = "i-0"
+	)
+	cfg := config(1, "streaming", true)
+	delete(cfg["services"].([]any)[0].(map[string]any), "engine")
+	err := f.deploy(ctx, cfg, func(int) workerSettings {
+		return workerSettings{Service: engineService, Slots: 192, Streams: true, WorkMS: 20, EventMS: 40, NoLength: true}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if f.trouble {
+		go func() {
+			time.Sleep(4 * time.Second)
+			f.log("disruption: worker %s crashes (SIGKILL)", victim)
+			f.signal(victim, syscall.SIGKILL)
+		}()
+	}
+	results := f.sendAll(240, 33*time.Millisecond, func(i int) request { return streamRequest(fmt.Sprintf("stream-%03d", i), "91bd3f06", events) })
+	var broken []string
+	for _, r := range results {
+		if b := checkStream(r, events); b != "" {
+			broken = append(broken, b)
+		}
+	}
+	return broken, nil
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -169,6 +169,9 @@
 	c := &child{cmd: cmd, done: make(chan struct{})}
 	f.mu.Lock()
 	f.children[name] = c
+	if f.ended {
+		_ = cmd.Process.Kill() // the case has ended meanwhile
+	}
 	f.mu.Unlock()
 	go func() {
 		sc := bufio.NewScanner(out)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -31,6 +31,8 @@
 	Store   string
 	Slots   int
 
+	// Streams makes a plain service answer with event streams.
+	Streams bool
 	// Layers, Kind and LoadMS are set for engines.
 	Layers int
 	Kind   string
@@ -201,7 +203,7 @@
 		w.active--
 		w.mu.Unlock()
 	}()
-	if w.Layers > 0 {
+	if w.Layers > 0 || w.Streams {
 		return w.stream(c, r)
 	}
 	return w.plain(c, r)
