A failure of an engine that is larger than 64 KiB is passed on whole or visibly cut

Cause: attempt.readRefusal read at most 64 KiB of a response that is no stream and took them as the whole body; the reader gives no error at its bound, and the sender states the length of what it has. Ruled out: the connection's reader and the response's length, which are right; plain requests, which read one byte more than they keep.

Change: streams read a failure in the way of plain requests, and the rest of a larger one is passed on as it arrives. The context of the attempt lives until the response is closed.

Tests that failed before: TestResponseWithoutEndDoesNotLookWhole (5 of 37 responses looked whole on /once/ and /stream/: the large one that breaks off, and four without end), TestLargeFailureIsWhole (65,536 of 200,000 bytes).

--- /dev/null
+++ b/savorycore/savoryraw/raw.go
@@ -0,0 +1,86 @@
+// Package savoryraw has HTTP responses of faulty servers that are written byte for byte: they
+// break off or have no end. Tests of clients send them.
+package savoryraw
+
+import (
+	"bytes"
+	_ "embed" // embeds the responses
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+//go:embed responses.txt
+var responses string
+
+// Response is a response that breaks off or has no end.
+type Response struct {
+	Name string
+	text string
+}
+
+// Responses returns all responses of responses.txt.
+func Responses() []Response {
+	var all []Response
+	for _, section := range strings.Split(strings.TrimSuffix(responses, "\n"), "\n== ")[1:] {
+		name, text, _ := strings.Cut(section, "\n")
+		r := New(text)
+		r.Name = name
+		all = append(all, r)
+	}
+	return all
+}
+
+// New returns a response with a text as in responses.txt.
+func New(text string) Response {
+	return Response{text: strings.ReplaceAll(text, "\n", "\r\n")}
+}
+
+// Endless reports whether the response has no end.
+func (r Response) Endless() bool { return strings.Contains(r.text, "<ENDLESS ") }
+
+const (
+	// endlessBytes is the size of the writes of an endless part.
+	endlessBytes = 8 << 10
+	// endlessInterval is the time between them, so that tests in parallel do not use up the
+	// processor.
+	endlessInterval = time.Millisecond
+)
+
+// Write writes the response with the header fields, which are lines without the last line end. It
+// returns after the last byte, or when the other end has closed the connection.
+func (r Response) Write(w io.Writer, fields string) error {
+	text := strings.ReplaceAll(strings.ReplaceAll(r.text, "FIELDS", fields), "<CR>", "\r")
+	for text != "" {
+		before, rest, found := strings.Cut(text, "<")
+		if _, err := io.WriteString(w, before); err != nil || !found {
+			return err
+		}
+		directive, after, _ := strings.Cut(rest, ">")
+		text = after
+		verb, argument, _ := strings.Cut(directive, " ")
+		switch verb {
+		case "FILL":
+			n, err := strconv.Atoi(argument)
+			if err != nil {
+				return fmt.Errorf("response %q: %w", r.Name, err)
+			}
+			if _, err := w.Write(bytes.Repeat([]byte("x"), n)); err != nil {
+				return err
+			}
+		case "ENDLESS":
+			part := bytes.Repeat([]byte(argument), max(1, endlessBytes/len(argument)))
+			for {
+				if _, err := w.Write(part); err != nil {
+					return err
+				}
+				time.Sleep(endlessInterval)
+			}
+		default:
+			return fmt.Errorf("response %q: directive %q does not exist", r.Name, verb)
+		}
+	}
+	return nil
+}
--- a/savoryentry/savorygate/failure.go
+++ b/savoryentry/savorygate/failure.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"strings"
 
 	"github.com/apex/log"
@@ -63,15 +62,15 @@
 	}
 }
 
-// readRefusal reads a response that is not a stream, and excludes the engine at
-// fault from further chains.
+// readRefusal reads the beginning of a response that is not a stream, and excludes the
+// engine at fault from further chains.
 func (a *attempt) readRefusal(info ResponseInfo) {
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes))
-	a.errorBody = body
+	a.refusal = plainResult{response: a.response, server: a.chain[0].Server}
+	err := a.readStart(&a.refusal)
 	a.err = statusError(a.response.StatusCode)
 	fault := serverAt(a.chain, info.Fault)
 	a.log.WithFields(log.Fields{
-		"path": a.chain.String(), "status": a.response.StatusCode, "notRun": info.NotRun, "fault": fault,
+		"path": a.chain.String(), "status": a.response.StatusCode, "notRun": info.NotRun, "fault": fault, "whole": err == nil && a.refusal.complete,
 	}).Info("chain refused the request")
 	if info.NotRun {
 		a.verdict = savoryverdict.NotRun
@@ -90,6 +89,6 @@
 	a.verdict = savoryverdict.MayHaveRun
 	a.avoidServer(a.chain[0].Server)
 	if err != nil {
-		a.errorBody, a.err = nil, err
+		a.err, a.refusal.err = err, err
 	}
 }
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -339,8 +339,8 @@
 // finishFailed ends the request after its last failed attempt.
 func (s *stream) finishFailed(a *attempt) {
 	defer a.closeResponse()
-	if s.eventCount == 0 && !s.headerWritten && a.response != nil && a.mayPassResponse() {
-		s.writeResponse(plainResult{response: a.response, bodyStart: a.errorBody, complete: true, server: a.chain[0].Server})
+	if s.eventCount == 0 && !s.headerWritten && a.mayPassRefusal() {
+		s.writeResponse(a.refusal)
 		return
 	}
 	switch {
@@ -363,8 +363,8 @@
 	choice   savorypath.Choice
 	cancel   context.CancelCauseFunc
 	response *savoryconn.Response
-	// errorBody is the body of a response that is not a stream.
-	errorBody []byte
+	// refusal is a response that is not a stream, if there was one.
+	refusal plainResult
 	// complete is set once the stream has ended normally.
 	complete bool
 	// attemptEvents is the number of events of this attempt.
@@ -374,10 +374,10 @@
 	watch         *stallWatch
 }
 
-// mayPassResponse reports whether the server's error response may be passed on
-// to the caller.
-func (a *attempt) mayPassResponse() bool {
-	return a.errorBody != nil && a.verdict != savoryverdict.NotRun && !promisesNotRun(a.response.StatusCode)
+// mayPassRefusal reports whether there is an error response of the server that may be passed
+// on to the caller.
+func (a *attempt) mayPassRefusal() bool {
+	return a.refusal.response != nil && a.refusal.err == nil && a.verdict != savoryverdict.NotRun && !promisesNotRun(a.response.StatusCode)
 }
 
 func (a *attempt) closeResponse() {
@@ -389,15 +389,20 @@
 // run sends the request to the chain and passes the events on to the caller.
 func (a *attempt) run() {
 	outer, cancelOuter := a.context()
-	defer cancelOuter()
 	ctx, cancel := context.WithCancelCause(outer)
-	defer cancel(nil)
 	a.cancel = cancel
 	a.watch = newStallWatch(ctx, a)
 	defer func() {
 		a.watch.stop()
 		a.g.endAttempt(a.prompt)
 		a.g.view.endChain(a.service.Name, a.watch.currentChain(), a.tokens)
+		end := func() { cancel(nil); cancelOuter() }
+		if a.mayPassRefusal() {
+			// The rest of the body is read when it is passed on.
+			cancelOnClose(a.response, end)
+		} else {
+			end()
+		}
 	}()
 	first := a.chain[0]
 	req := a.newServerRequest(Forward{Server: first.Server, Chain: a.chain, LastEventID: a.events.lastID(a.caller.LastEventID)})
