savorystore: a message of a watch is bounded

Callers would have lost their requests with the process; none was seen.

Cause: calls bound their response, the watch did not bound its messages. Ruled out: calls of the store and of engines, for which TestResponsesWithoutEnd in savorystore and savoryengine passed at once.

Change: at most 16 MiB a message, then the watch ends with an error and is begun again. TestWatchMessageIsBounded failed before (still reading after a minute) and passes.

--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -3,12 +3,17 @@
 package savoryraw
 
 import (
+	"bufio"
 	"bytes"
 	_ "embed" // embeds the responses
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -84,3 +89,70 @@
 	}
 	return nil
 }
+
+// Server responds to each request on loopback with one response, and then closes the
+// connection. Response is set before Start.
+type Server struct {
+	Response Response
+	// Fields are header fields of the response as for Response.Write.
+	Fields string
+
+	listener net.Listener
+	written  atomic.Int64
+}
+
+// Start opens the listener and serves until Close.
+func (s *Server) Start() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen for raw responses: %w", err)
+	}
+	s.listener = l
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return // closed
+			}
+			go s.serve(c)
+		}
+	}()
+	return nil
+}
+
+// Address returns the address of the server.
+func (s *Server) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+// Written returns the number of bytes that the server has written to its clients.
+func (s *Server) Written() int64 { return s.written.Load() }
+
+// Close closes the listener.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	// The client closes the connection of a response without end.
+	_ = s.Response.Write(&countingWriter{w: c, n: &s.written}, s.Fields)
+}
+
+// countingWriter adds the bytes that it writes to n.
+type countingWriter struct {
+	w io.Writer
+	n *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.w.Write(p)
+	w.n.Add(int64(n))
+	return n, err
+}
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -38,6 +38,13 @@
 // maxResponseBytes bounds the response to one call.
 const maxResponseBytes = 64 << 20
 
+// maxWatchBytes bounds one message of a watch. It carries the changes of a few
+// transactions, each of at most MaxTxnBytes.
+const maxWatchBytes = 16 << 20
+
+// errWatchTooLarge is returned if a message of a watch exceeds maxWatchBytes.
+var errWatchTooLarge = fmt.Errorf("a message of the watch exceeds %d bytes", maxWatchBytes)
+
 // maxReadTimeouts bounds a read whose response makes progress, as a multiple of
 // the timeout.
 const maxReadTimeouts = 5
@@ -292,8 +299,10 @@
 		return fmt.Errorf("store: watch: %w", err)
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
+	bounded := &messageReader{reader: resp.Body}
+	dec := json.NewDecoder(bounded)
 	for {
+		bounded.left = maxWatchBytes
 		var message WatchResponse
 		if err := dec.Decode(&message); err != nil {
 			return fmt.Errorf("store: watch: %w", err)
@@ -311,6 +320,22 @@
 	}
 }
 
+// messageReader returns errWatchTooLarge after left bytes.
+type messageReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errWatchTooLarge
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 func (s *Store) call(ctx context.Context, op, path string, req, response any) error {
 	err := s.roundTrip(ctx, op, path, req, response)
 	if s.OnCall != nil {
