savorynode: the header of a backend server's response is bounded to 64 KiB

Ruled out: the entries on the platform (64 KiB for a head and the informational responses before it) and calls of the store and of engines there (64 KiB).

TestBrokenResponseHeader failed before for six kinds of heads without end and passes. Heads that break off were errors before and are.

--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -45,6 +45,8 @@
 	engineTimeout = 2 * time.Second
 	// dialTimeout bounds the dialing of a backend server.
 	dialTimeout = 500 * time.Millisecond
+	// maxResponseHeaderBytes bounds the header of a response of a backend server.
+	maxResponseHeaderBytes = 64 << 10
 	// maxIdleConnections bounds the idle connections to one backend server.
 	maxIdleConnections = 256
 	// idleTimeout is how long an idle connection to a backend server stays
@@ -385,6 +387,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
+		// The default is 10 MB, and many responses may be read at once on a small VM.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
