savoryadmin: a response above the bound is an error

TestCutDocument failed before in this case and passes; documents whose connection breaks off were errors before.

--- a/savorycore/savoryadmin/client.go
+++ b/savorycore/savoryadmin/client.go
@@ -135,7 +135,10 @@
 		return nil, fmt.Errorf("entry %s: %w", c.Entry, err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(text) > maxResponseBytes {
+		err = fmt.Errorf("the response exceeds %d bytes", maxResponseBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("entry %s: %w", c.Entry, err)
 	}
