--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -176,7 +176,10 @@
 
 // readList decodes a changed list and keeps the VMs that match the filter.
 func (c *Client) readList(resp *http.Response) ([]savoryworld.VM, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
+	if err == nil && len(body) > maxListBytes {
+		err = fmt.Errorf("the list exceeds %d bytes", maxListBytes)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("reading VM list: %w", err)
 	}
