Tests: responses of the own path's servers that break off or have no end

They show that none reaches a caller as whole, with or without an idempotency key, and that no request runs again after it.

--- a/savorystand/hostile_test.go
+++ b/savorystand/hostile_test.go
@@ -17,6 +17,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"savorycart.example/savorycore/savorylog"
+	"savorycart.example/savorycore/savoryraw"
 	"savorycart.example/savorycore/savoryworld"
 	"savorycart.example/savoryentry/savorynode"
 	"savorycart.example/savorystand/savoryservice"
@@ -160,3 +161,25 @@
 	is.NoErr(err)
 	is.Equal(response.Status, http.StatusOK)
 }
+
+// Guards against a response of a backend server that breaks off, or that has no end, and reaches
+// the caller as a whole one, and against a request that runs again after it.
+func TestResponsesWithoutEnd(t *testing.T) {
+	for _, r := range savoryraw.Responses() {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			site := hostileSite(t)
+			site.DispatchServers[0].SetFaults(savoryservice.Faults{Raw: &r})
+			caller := &savorysite.Caller{Entry: site.Nodes[0].Callers, Key: savorysite.CustomerKey("musina-guards")}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			for path, key := range map[string]string{"/notes": "", "/callouts": "key-" + strings.Fields(r.Name)[0]} {
+				response, err := caller.Send(ctx, http.MethodPost, path, "x", key)
+				if err == nil && (response.Verdict == "Ran" || response.Verdict == "NotRun") {
+					t.Errorf("%s: status %d and %d bytes look whole, verdict %s", path, response.Status, len(response.Body), response.Verdict)
+				}
+			}
+			is.New(t).True(site.DispatchServers[0].Total() <= 2) // each of the requests runs once
+		})
+	}
+}
--- a/savorystand/savoryservice/service.go
+++ b/savorystand/savoryservice/service.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"savorycart.example/savorycore/savoryraw"
 )
 
 // maxBodyBytes bounds the body of one request.
@@ -49,6 +51,8 @@
 	EndlessResponse bool
 	// TruncatedResponse closes the connection in the middle of the response.
 	TruncatedResponse bool
+	// Raw, if set, is executed and written byte for byte in place of the usual response.
+	Raw *savoryraw.Response
 	// Header is added to each response.
 	Header http.Header
 	// Refuse responds with status 503 and executes nothing.
@@ -128,6 +132,10 @@
 		return
 	}
 	number := s.execute(r.Header.Get(IdempotencyKeyHeader))
+	if faults.Raw != nil {
+		writeRaw(w, faults.Raw)
+		return
+	}
 	if faults.CloseAfterExecution {
 		panic(http.ErrAbortHandler)
 	}
@@ -138,6 +146,20 @@
 	writeJSON(w, http.StatusCreated, receipt)
 }
 
+// writeRaw writes a response on the connection of a request and closes it.
+func writeRaw(w http.ResponseWriter, r *savoryraw.Response) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	c, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	_ = r.Write(c, "Content-Type: application/json") // The caller may have disconnected.
+}
+
 // sendEndless sends chunks until the caller disconnects. If truncated is true, it
 // closes the connection after the first chunk.
 func sendEndless(w http.ResponseWriter, r *http.Request, truncated bool) {
