savorygate: a planned stop refuses what would outlast it, and answers what it cuts

Cause: an entry that stops took requests whatever time was left, and http.Server.Shutdown closes a connection whose request has just been read. Ruled out: idle connections, which are closed before a request is read, and the own path, whose drain refuses new requests as not run.

--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -181,11 +181,15 @@
 	if err := c.rc.SetWriteDeadline(c.deadline.Add(writeDeadlineMargin)); err != nil {
 		c.log.WithError(err).Debug("write deadline not set")
 	}
+	if err := c.refuseIfStopping(); err != nil {
+		return err
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
 	c.header = endToEndHeader(c.r.Header)
-	return nil
+	// The body may have come slowly.
+	return c.refuseIfStopping()
 }
 
 // readBody reads the whole body, so that the request can be sent more than
@@ -228,8 +232,8 @@
 	}
 }
 
-// context returns a context that ends when the caller leaves or the deadline
-// passes.
+// context returns a context that ends when the caller leaves, the deadline
+// passes or the entry cuts the request.
 func (c *call) context() (context.Context, context.CancelFunc) {
 	return context.WithDeadlineCause(c.r.Context(), c.deadline, errDeadline)
 }
@@ -246,8 +250,13 @@
 	}
 }
 
+// ended reports whether the caller has left, or the entry has cut the request.
+func (c *call) ended() bool { return c.r.Context().Err() != nil }
+
 // callerLeft reports whether the caller has left.
-func (c *call) callerLeft() bool { return c.r.Context().Err() != nil }
+func (c *call) callerLeft() bool {
+	return c.ended() && !errors.Is(context.Cause(c.r.Context()), errStopped)
+}
 
 // newServerRequest returns the request for a backend server. It sets the
 // remaining time, the customer and the priority of f.
@@ -326,6 +335,9 @@
 	if e != nil {
 		status, code = strconv.Itoa(e.Status), e.Code
 	}
+	if e == nil && c.service != nil {
+		c.g.durations.record(c.service.Name, c.g.now().Sub(c.startedAt))
+	}
 	c.g.metrics.requests.WithLabelValues(kind, outcome, code).Inc()
 	c.g.metrics.duration.WithLabelValues(kind).Observe(c.g.now().Sub(c.startedAt).Seconds())
 	late := c.late()
--- a/savoryentry/savorygate/failure.go
+++ b/savoryentry/savorygate/failure.go
@@ -42,7 +42,7 @@
 		a.recordUnsent()
 		a.g.view.unsent(a.chain[0].Server)
 	}
-	if a.callerLeft() || errors.Is(err, errDeadline) || errors.Is(err, errQuarantined) {
+	if a.ended() || errors.Is(err, errDeadline) || errors.Is(err, errQuarantined) {
 		return
 	}
 	a.log.WithError(err).WithFields(log.Fields{
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -36,11 +36,6 @@
 	headerTimeout = 10 * time.Second
 	// dialTimeout bounds the time to connect to a backend server.
 	dialTimeout = 300 * time.Millisecond
-	// balancerNoticeDelay is how long the load balancer takes to detect that an
-	// entry is not ready: it checks once a second and needs two failed checks.
-	balancerNoticeDelay = 2300 * time.Millisecond
-	// closeMargin is the end of the grace time that is reserved for closing.
-	closeMargin = 500 * time.Millisecond
 	// requestsPerSample is the number of requests of which one is logged in full.
 	requestsPerSample = 16
 	// sweepInterval is the interval of the checks for idle connections.
@@ -76,14 +71,21 @@
 	fetch        configFetch
 	packed       packedConfigs
 	// partsServed holds an element for each part that is being sent.
-	partsServed      chan struct{}
-	serverClient     *savoryconn.Client
-	reports          reportCache
-	streams          activeStreams
-	metrics          *metrics
-	quarantine       quarantine
-	inFlight         atomic.Int64
-	stopping         atomic.Bool
+	partsServed  chan struct{}
+	serverClient *savoryconn.Client
+	reports      reportCache
+	streams      activeStreams
+	metrics      *metrics
+	quarantine   quarantine
+	inFlight     atomic.Int64
+	durations    durations
+	// calls is the context of all requests of callers; cutCalls ends it.
+	calls    context.Context
+	cutCalls context.CancelCauseFunc
+	stopOnce sync.Once
+	stopping atomic.Bool
+	// stopEndsAt is when a planned stop cuts the requests that are left.
+	stopEndsAt       savoryworld.AtomicTime
 	ordering         atomic.Bool
 	storeContactAt   savoryworld.AtomicTime
 	storeUnreachable atomic.Bool
@@ -102,6 +104,8 @@
 	budgets  map[string]*savorylimit.WindowBudget
 
 	idleMu sync.Mutex
+	// connCount is the number of connections of callers.
+	connCount int
 	// idleSince holds the idle connections of callers. The time is zero once the
 	// connection is being closed.
 	idleSince map[net.Conn]time.Time
@@ -154,6 +158,8 @@
 	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
 	g.budgets = make(map[string]*savorylimit.WindowBudget)
 	g.idleSince = make(map[net.Conn]time.Time)
+	g.calls, g.cutCalls = context.WithCancelCause(context.WithoutCancel(ctx))
+	defer g.cutCalls(nil)
 	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
 	if err := g.listen(s); err != nil {
 		g.tomb.Kill(err)
@@ -180,9 +186,6 @@
 	return err
 }
 
-// errStopped ends a gate after a planned stop.
-var errStopped = errors.New("the gate has stopped as planned")
-
 // listen opens the listeners and serves on them.
 func (g *Gate) listen(s *Settings) error {
 	front, err := net.Listen("tcp", s.Front.String())
@@ -199,7 +202,7 @@
 	}
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, BaseContext: func(net.Listener) context.Context { return g.calls },
 	}
 	router := bunrouter.New()
 	router.GET(g.Dialect.ReadyPath, bunrouter.HTTPHandlerFunc(g.handleReady))
@@ -224,7 +227,7 @@
 		peerServer.Stop()
 		return errors.Join(server.Close(), readyServer.Close())
 	})
-	g.tomb.Go(func() error { return g.awaitStop(server) })
+	g.tomb.Go(func() error { return g.awaitStop(front) })
 	return nil
 }
 
@@ -248,7 +251,11 @@
 }
 
 func (g *Gate) serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := s.Serve(l)
+	if g.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("listener %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -263,37 +270,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Stop begins a planned stop: the gate is reported as not ready, then each
-// connection ends with its last response.
-func (g *Gate) Stop() {
-	if g.stopping.CompareAndSwap(false, true) {
-		g.Log.Info("stop begins")
-		g.wakeSync()
-	}
-}
-
-// awaitStop waits for Stop, then ends the gate when all requests have ended or the
-// grace time is nearly over.
-func (g *Gate) awaitStop(server *http.Server) error {
-	for !g.stopping.Load() {
-		g.sleep(pollInterval)
-		if !g.alive() {
-			return nil
-		}
-	}
-	stopStartedAt := g.now()
-	g.sleep(balancerNoticeDelay)
-	ctx, cancel := context.WithDeadline(g.ctx, stopStartedAt.Add(g.Settings().Grace-closeMargin))
-	defer cancel()
-	err := server.Shutdown(ctx)
-	g.Log.WithFields(log.Fields{"tookMs": g.now().Sub(stopStartedAt).Milliseconds(), "cause": fmt.Sprint(err)}).Info("requests ended")
-	return errStopped
-}
-
-// connState tracks the idle connections of callers.
+// connState tracks the connections of callers.
 func (g *Gate) connState(c net.Conn, state http.ConnState) {
 	g.idleMu.Lock()
 	defer g.idleMu.Unlock()
+	switch state {
+	case http.StateNew:
+		g.connCount++
+	case http.StateClosed:
+		g.connCount--
+	}
 	if state == http.StateIdle || state == http.StateNew {
 		g.idleSince[c] = g.now()
 		return
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -80,7 +80,7 @@
 		case !serverGone(res.err):
 			refusals++
 		}
-		if c.callerLeft() || !c.shouldRetry(res, runs, refusals) {
+		if c.ended() || !c.shouldRetry(res, runs, refusals) {
 			c.finishPlain(res, refusals > 0)
 			return
 		}
@@ -112,7 +112,7 @@
 		c.g.view.unsent(choice.server.ID)
 		c.g.endAttempt(c.prompt)
 		c.returnTrial()
-		if c.callerLeft() || !now.Before(c.deadline) {
+		if c.ended() || !now.Before(c.deadline) {
 			return choice, errNotTaken
 		}
 	}
@@ -131,7 +131,7 @@
 // checkPlainEnd checks whether a server has ended under a request of which it gave no whole
 // answer, if the request shares something with others.
 func (c *call) checkPlainEnd(s savoryroster.Server, res plainResult) {
-	if res.err == nil || len(c.prompt.Parts) == 0 || errors.Is(res.err, errAttemptTimeout) || errors.Is(res.err, errDeadline) || c.callerLeft() {
+	if res.err == nil || len(c.prompt.Parts) == 0 || errors.Is(res.err, errAttemptTimeout) || errors.Is(res.err, errDeadline) || c.ended() {
 		return
 	}
 	c.g.checkEnded(c.log, c.prompt, s.ID, s.Address, res.begun, nil)
@@ -362,10 +362,10 @@
 // cancelOnClose cancels the context of a response when the response is closed.
 func cancelOnClose(a *savoryconn.Response, cancel context.CancelFunc) { a.OnClose = cancel }
 
-// recordFailure records a failure of a server. It does nothing if the caller
-// has left, which also makes calls fail.
+// recordFailure records a failure of a server. It does nothing if the request
+// has ended, which also makes calls fail.
 func (c *call) recordFailure(id string, err error) {
-	if c.callerLeft() {
+	if c.ended() {
 		return
 	}
 	until := c.g.view.recordFailure(id, serverGone(err), c.g.now())
--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -15,7 +15,7 @@
 // mayContinue reports whether the stream continues on another chain. It uses
 // the retry of reserveRetry, or else takes one from the budget.
 func (s *stream) mayContinue(a *attempt) bool {
-	if s.callerLeft() || !s.g.now().Before(s.deadline) || a.verdict != savoryverdict.NotRun && !s.route.Resumable {
+	if s.ended() || !s.g.now().Before(s.deadline) || a.verdict != savoryverdict.NotRun && !s.route.Resumable {
 		return false
 	}
 	if s.g.quarantined(s.prompt) || s.endedTooMany() {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -105,7 +105,7 @@
 			c.g.view.dropChain(c.service.Name, choice.Chain, s.tokens)
 			c.g.endAttempt(c.prompt)
 			s.returnTrial()
-			if c.callerLeft() || !c.g.now().Before(c.deadline) {
+			if c.ended() || !c.g.now().Before(c.deadline) {
 				s.failNoChain(errNotTaken)
 				return
 			}
