savorygate: an entry whose configuration may be out of date does not deny routes and keys

Cause, as far as it is shown: an entry that hears nothing from its peers and the store goes on to answer from the version that it has, whatever its age, and its peers' list of servers being confirmed does not say that its configuration is.

Change: readings of the store that found no newer version are passed on with their age (savorynews, pure). An entry that knows of a newer version waits for it as at a start; if it has none, or its last confirmation is older than a version may take, it refuses what its version does not allow with 503 and a time to return. An entry to which no part of a newer version comes for a second reads the store itself. Logs: when an entry first heard of a version, and how long it took; configAgeMs with each request's end; configuration_age_seconds.

The golden file of the message is recorded anew for two optional fields.

--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -67,7 +67,7 @@
 		}},
 		{Name: "news", Value: &SyncState{
 			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
-			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true, NoticePrint: 96, TracksNotices: true},
+			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, ConfigReading: 95, ConfigAge: 3 * time.Second, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true, NoticePrint: 96, TracksNotices: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults:     []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
 			Slowdowns:  []ServerSlowdown{{Server: "oak-1", Factor: 2.5, Age: 2 * time.Second}},
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -36,6 +36,11 @@
 	// the time of the read forward by the delay of the message, and an age that
 	// came back would make the list look newer than it is.
 	ListReading uint64
+	// ConfigReading identifies the last reading of the store, ConfigAge ago, that found no
+	// configuration newer than Config. It is 0 if the sender knows of none. The age of each
+	// reading counts once, as with ListReading.
+	ConfigReading uint64        `msgpack:",omitempty"`
+	ConfigAge     time.Duration `msgpack:",omitempty"`
 	// FetchesConfig is set if the sender fetches configurations itself. A sender that does
 	// not, of an older build, gets them in SyncState.Config.
 	FetchesConfig bool `msgpack:",omitempty"`
@@ -133,6 +138,9 @@
 	if n.Known.ListAge < 0 {
 		return fmt.Errorf("SyncState.Known.ListAge: %s is below 0", n.Known.ListAge)
 	}
+	if n.Known.ConfigAge < 0 {
+		return fmt.Errorf("SyncState.Known.ConfigAge: %s is below 0", n.Known.ConfigAge)
+	}
 	if n.Config != nil {
 		if err := n.Config.Check(); err != nil {
 			return fmt.Errorf("SyncState.Config: %w", err)
--- /dev/null
+++ b/savoryentry/savorygate/behind.go
@@ -0,0 +1,97 @@
+package savorygate
+
+// This file keeps an entry whose configuration may be out of date from stating that a route or
+// a key does not exist: callers do not ask again after that.
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"savorycart.example/savorycore/savorynews"
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// configNews is what this entry knows about newer configurations.
+type configNews struct {
+	mu      sync.Mutex
+	tracker savorynews.Tracker
+}
+
+// hearConfig records that a version exists.
+func (g *Gate) hearConfig(version int64, source string) {
+	g.news.mu.Lock()
+	first := g.news.tracker.Hear(version, g.now())
+	g.news.mu.Unlock()
+	if first {
+		g.Log.WithFields(log.Fields{"version": version, "inForce": g.configVersion(), "source": source}).Info("newer configuration exists")
+	}
+}
+
+// confirmConfig records a reading of the store, at a time, that found no version newer than the one
+// in force.
+func (g *Gate) confirmConfig(reading uint64, at time.Time) {
+	g.news.mu.Lock()
+	defer g.news.mu.Unlock()
+	g.news.tracker.Confirm(reading, at)
+}
+
+// confirmOwnReading is confirmConfig for a reading by this entry.
+func (g *Gate) confirmOwnReading(at time.Time) { g.confirmConfig(rand.Uint64N(1<<63)+1, at) }
+
+// configReading returns the last reading that confirmed the configuration, and its age.
+func (g *Gate) configReading(now time.Time) (reading uint64, age time.Duration) {
+	g.news.mu.Lock()
+	defer g.news.mu.Unlock()
+	return g.news.tracker.LastReading(now)
+}
+
+// configDoubt reports whether the configuration in force may be out of date.
+func (g *Gate) configDoubt(now time.Time) savorynews.Doubt {
+	g.news.mu.Lock()
+	defer g.news.mu.Unlock()
+	return g.news.tracker.Doubt(now, g.Settings().ConfigTime)
+}
+
+// fetchStuck reports whether a newer version has been known for a while and no part of it
+// arrives from peers.
+func (g *Gate) fetchStuck(now time.Time) bool {
+	g.news.mu.Lock()
+	behindFor := g.news.tracker.BehindFor(now)
+	g.news.mu.Unlock()
+	return behindFor > storeTimeout && now.Sub(g.fetch.progressAt.Load()) > storeTimeout
+}
+
+// selectRoute selects the route and the customer of the request. If the configuration has none and is
+// known to be out of date, it waits for the newer one as for the first one at a start.
+func (c *call) selectRoute() *savoryverdict.Error {
+	err := c.match()
+	if err == nil || c.g.configDoubt(c.startedAt) == savorynews.None {
+		return err
+	}
+	if c.g.configDoubt(c.startedAt) == savorynews.Behind && c.awaitTable() {
+		err = c.match()
+	}
+	now := c.g.now()
+	doubt := c.g.configDoubt(now)
+	if err == nil || doubt == savorynews.None {
+		return err
+	}
+	refusal := savoryverdict.Unavailable("Configuration"+string(doubt), busyRetryDelay, "the configuration may be out of date")
+	refusal.Err = err
+	return refusal
+}
+
+// awaitTable waits for a newer routing table and reports whether there is one.
+func (c *call) awaitTable() bool {
+	return c.g.waitAtStart(c.r.Context(), c.caller.Deadline, func() bool {
+		t := c.g.table.Load()
+		if t == c.table {
+			return false
+		}
+		c.table = t
+		return true
+	})
+}
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -52,19 +52,27 @@
 // wait while the store is known to be unreachable. The deadline is the time
 // that the caller allows, 0 if it states none.
 func (g *Gate) awaitStart(ctx context.Context, deadline time.Duration) {
+	g.waitAtStart(ctx, deadline, func() bool {
+		return g.table.Load() != nil && g.view.hasList() || g.storeUnreachable.Load()
+	})
+}
+
+// waitAtStart waits until a condition is met, and reports whether it is.
+func (g *Gate) waitAtStart(ctx context.Context, deadline time.Duration, met func() bool) bool {
 	wait := maxStartWait
 	if deadline > 0 {
 		wait = min(wait, time.Duration(startWaitFraction*float64(deadline)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	for (g.table.Load() == nil || !g.view.hasList()) && !g.storeUnreachable.Load() {
+	for !met() {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-time.After(startPollInterval):
 		}
 	}
+	return true
 }
 
 // errDeadline is the cause of a context that ended because the deadline of the
@@ -154,19 +162,8 @@
 	if c.table == nil {
 		return savoryverdict.Unavailable("NoConfiguration", unavailableRetryDelay, "no configuration is known yet")
 	}
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	c.route = c.table.Match(c.r.Host, path)
-	if c.route == nil {
-		return &savoryverdict.Error{
-			Verdict: savoryverdict.NotRun, Status: http.StatusNotFound, Code: "NoRoute", Message: "no route matches the host and path",
-		}
-	}
-	if c.table.NeedsKey(c.route) {
-		if c.customer = c.table.Customer(caller.Key); c.customer == nil {
-			return &savoryverdict.Error{
-				Verdict: savoryverdict.NotRun, Status: http.StatusUnauthorized, Code: "UnknownKey", Message: "the key is not known",
-			}
-		}
+	if err := c.selectRoute(); err != nil {
+		return err
 	}
 	c.service = c.table.Service(c.route, caller.ID)
 	if c.service == nil {
@@ -192,6 +189,25 @@
 	return c.refuseIfStopping()
 }
 
+// match selects the route and the customer of the request in c.table.
+func (c *call) match() *savoryverdict.Error {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = c.table.Match(c.r.Host, path)
+	if c.route == nil {
+		return &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusNotFound, Code: "NoRoute", Message: "no route matches the host and path",
+		}
+	}
+	if c.table.NeedsKey(c.route) {
+		if c.customer = c.table.Customer(c.caller.Key); c.customer == nil {
+			return &savoryverdict.Error{
+				Verdict: savoryverdict.NotRun, Status: http.StatusUnauthorized, Code: "UnknownKey", Message: "the key is not known",
+			}
+		}
+	}
+	return nil
+}
+
 // readBody reads the whole body, so that the request can be sent more than
 // once.
 func (c *call) readBody() *savoryverdict.Error {
@@ -350,8 +366,12 @@
 	logger := c.log.WithFields(log.Fields{
 		"outcome": outcome, "status": status, "sends": c.sends, "mayHaveRun": c.mayHaveRun, "tookMs": c.g.now().Sub(c.startedAt).Milliseconds(),
 	})
+	if c.table != nil {
+		_, age := c.g.configReading(c.g.now())
+		logger = logger.WithFields(log.Fields{"version": c.table.Config.Version, "configAgeMs": age.Milliseconds()})
+	}
 	if c.route != nil {
-		logger = logger.WithFields(log.Fields{"route": c.route.Name, "version": c.table.Config.Version})
+		logger = logger.WithField("route", c.route.Name)
 	}
 	if !c.firstByteAt.IsZero() {
 		logger = logger.WithFields(log.Fields{"firstMs": c.firstByteAt.Sub(c.startedAt).Milliseconds(), "maxGapMs": c.maxGap.Milliseconds(), "late": late})
--- a/savoryentry/savorygate/fetch.go
+++ b/savoryentry/savorygate/fetch.go
@@ -17,6 +17,7 @@
 
 	"savorycart.example/savorycore/savorypeer"
 	"savorycart.example/savorycore/savoryrouting"
+	"savorycart.example/savorycore/savoryworld"
 )
 
 const (
@@ -43,6 +44,8 @@
 	size    int
 	// refused is the last version that could not be put in force.
 	refused int64
+	// progressAt is when the last part arrived.
+	progressAt savoryworld.AtomicTime
 }
 
 // begin reports whether a version may be fetched now, and marks a fetch as running.
@@ -130,6 +133,7 @@
 		if !progress {
 			return // the peer has other parts than before
 		}
+		g.fetch.progressAt.Store(g.now())
 		if packed == nil {
 			continue
 		}
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -50,6 +50,7 @@
 func (g *Gate) setConfig(cfg *savoryrouting.Config, source string) bool {
 	g.configMu.Lock()
 	defer g.configMu.Unlock()
+	startedAt := g.now()
 	if old := g.table.Load(); old != nil && old.Config.Version >= cfg.Version {
 		return false
 	}
@@ -57,8 +58,12 @@
 	g.view.setConfig(cfg)
 	g.setBudgets()
 	g.metrics.version.Set(float64(cfg.Version))
+	g.news.mu.Lock()
+	heardFor := g.news.tracker.SetInForce(cfg.Version, g.now())
+	g.news.mu.Unlock()
 	g.Log.WithFields(log.Fields{
 		"version": cfg.Version, "routes": len(cfg.Routes), "services": len(cfg.Services), "customers": len(cfg.Customers), "source": source,
+		"heardMs": heardFor.Milliseconds(), "applyMs": g.now().Sub(startedAt).Milliseconds(),
 	}).Info("configuration in force")
 	return true
 }
@@ -74,20 +79,21 @@
 // updates. It polls, because a watch may deliver no events while the configuration
 // changes.
 func (g *Gate) followConfig() error {
-	return g.pollStore(g.readConfig)
+	return g.pollStore(g.readConfig, g.fetchStuck)
 }
 
 // followList reads the list of servers under the same conditions.
 func (g *Gate) followList() error {
 	var snapshots listSnapshots
-	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshots) })
+	never := func(time.Time) bool { return false }
+	return g.pollStore(func() (*transfer, error) { return nil, g.readList(&snapshots) }, never)
 }
 
 // pollStore calls read at the interval of the readings while this entry is the
-// reader, its list is stale or it has no configuration. Failed readings back off,
+// reader, its list is stale, it has no configuration or urgent returns true. Failed readings back off,
 // since every entry reads while the store is unreachable. An entry that passes nothing on
 // spaces readings for which read returns a transfer.
-func (g *Gate) pollStore(read func() (*transfer, error)) error {
+func (g *Gate) pollStore(read func() (*transfer, error), urgent func(time.Time) bool) error {
 	var readAt time.Time
 	var last *transfer
 	delay := storeRetryDelay
@@ -98,7 +104,7 @@
 		if last != nil && (!reader || g.relay.liveCount(now) == 1) {
 			interval = readingInterval(interval, last.received, last.took(), g.Settings().ConfigTime)
 		}
-		needed := reader || g.listAge() > g.staleListAge() || g.table.Load() == nil
+		needed := reader || g.listAge() > g.staleListAge() || g.table.Load() == nil || urgent(now)
 		if now.Sub(readAt) < interval || !needed || g.deferToFirstReader(now) {
 			g.sleep(pollInterval / 2)
 			continue
@@ -139,24 +145,31 @@
 			"received": t.received, "tookMs": g.now().Sub(t.startedAt).Milliseconds(), "silenceMs": silence.Milliseconds(),
 		}).Warn("configuration not read")
 	}
-	if err != nil || !v.Exists() || v.Position() == g.configPosition || g.outdated(v.Era) {
+	if err != nil || !v.Exists() || g.outdated(v.Era) {
 		return t, err
 	}
-	g.configPosition = v.Position()
-	g.applyConfig(v)
+	if v.Position() != g.configPosition {
+		g.configPosition = v.Position()
+		g.configRefused = !g.applyConfig(v)
+	}
+	if !g.configRefused {
+		g.confirmOwnReading(t.startedAt)
+	}
 	return t, nil
 }
 
-func (g *Gate) applyConfig(v savorystore.Value) {
+// applyConfig puts a configuration that was read in force, and reports whether it is one.
+func (g *Gate) applyConfig(v savorystore.Value) bool {
 	cfg, err := g.Store.ReadConfig(v.Body)
 	if err != nil {
 		g.Log.WithError(err).WithField("revision", v.Revision).Error("configuration refused")
-		return
+		return false
 	}
 	if g.setConfig(cfg, "store") {
 		// The entries that do not read the store receive it at once.
 		g.wakeSync()
 	}
+	return true
 }
 
 func (g *Gate) staleListAge() time.Duration {
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -69,6 +69,7 @@
 	// do not wait behind them.
 	configClient *savorypeer.Client
 	fetch        configFetch
+	news         configNews
 	packed       packedConfigs
 	// partsServed holds an element for each part that is being sent.
 	partsServed  chan struct{}
@@ -94,8 +95,9 @@
 	badRegistrations map[string]string
 	badNotices       badNotices
 	// configPosition is the store's position of the last configuration that was
-	// read.
+	// read, configRefused whether it could not be used.
 	configPosition savoryworld.Position
+	configRefused  bool
 	// configTimeout is how long the next reading of the configuration goes on without
 	// a byte; it grows while readings time out.
 	configTimeout time.Duration
@@ -300,6 +302,8 @@
 		g.view.expireSlowdowns(now, g.config())
 		g.view.expireNotices(now)
 		g.setBudgets()
+		_, age := g.configReading(now)
+		g.metrics.configAge.Set(age.Seconds())
 		for state, n := range g.view.countsByState(now) {
 			g.metrics.servers.WithLabelValues(state).Set(float64(n))
 		}
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -26,6 +26,7 @@
 	orders           *prometheus.CounterVec
 	dials            prometheus.Counter
 	version          prometheus.Gauge
+	configAge        prometheus.Gauge
 	listAge          prometheus.Gauge
 	servers          *prometheus.GaugeVec
 	serverEnds       prometheus.Counter
@@ -57,6 +58,7 @@
 		storeReceived:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations and lists of servers received from the platform's store."}),
 		orders:           newCounterVec("orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		dials:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
+		configAge:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_age_seconds", Help: "Time since the last reading of the store that found no newer configuration."}),
 		version:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
 		listAge:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "list_age_seconds", Help: "Age of the list of servers."}),
 		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -75,7 +77,7 @@
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.orders,
-		m.dials, m.version, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -106,6 +106,8 @@
 func (g *Gate) syncState(to savorypeer.Entry, known *savorypeer.Versions) *savorypeer.SyncState {
 	now := g.now()
 	listing, own := g.view.listForPeers(now)
+	// The reading is taken before the version: it then found none newer than that.
+	configReading, configAge := g.configReading(now)
 	cfg := g.config()
 	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
 	state := &savorypeer.SyncState{
@@ -115,7 +117,7 @@
 	}
 	state.Known.StoreEra, state.Known.FetchesConfig = g.storeEra.Load(), true
 	if cfg != nil {
-		state.Known.Config = cfg.Version
+		state.Known.Config, state.Known.ConfigReading, state.Known.ConfigAge = cfg.Version, configReading, configAge
 		if known != nil && known.Config < cfg.Version && !known.FetchesConfig {
 			state.Config = cfg
 		}
@@ -167,6 +169,11 @@
 	if changed {
 		g.forwardToZone()
 	}
+	if s.Known.Config > g.configVersion() {
+		g.hearConfig(s.Known.Config, s.From.Address.String())
+	} else if s.Known.ConfigReading != 0 {
+		g.confirmConfig(s.Known.ConfigReading, now.Add(-s.Known.ConfigAge))
+	}
 	if s.Known.FetchesConfig {
 		g.startFetch(s.From.Address, s.Known.Config)
 	}
