savorystore: the header of a response is bounded to 64 KiB

The client of the store kept up to 10 MB of a header without end, as the transports to backend servers did.

The tests of responses that break off share savoryraw.Each.

--- a/savorycore/savoryadmin/client_test.go
+++ b/savorycore/savoryadmin/client_test.go
@@ -13,18 +13,11 @@
 // Guards against a document that is cut, by its connection or at the bound of a response, and that
 // operators get as a whole one and could submit again.
 func TestCutDocument(t *testing.T) {
-	responses := append(savoryraw.Responses(), savoryraw.New("HTTP/1.1 200 OK\nFIELDS\nContent-Length: 67108865\n\n<FILL 67108865>"))
-	for _, r := range responses {
-		t.Run(r.Name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := &savoryraw.Server{Response: r, Fields: HeaderRevision + ": 7"}
-			is.NoErr(s.Start())
-			defer s.Close()
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			_, err := (&Client{Entry: s.Address()}).Document(ctx, "")
-			is.True(err != nil)
-		})
-	}
+	tooLarge := savoryraw.New("HTTP/1.1 200 OK\nFIELDS\nContent-Length: 67108865\n\n<FILL 67108865>")
+	savoryraw.Each(t, HeaderRevision+": 7", func(t *testing.T, s *savoryraw.Server) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := (&Client{Entry: s.Address()}).Document(ctx, "")
+		is.New(t).True(err != nil)
+	}, tooLarge)
 }
--- a/savorycore/savoryengine/raw_test.go
+++ b/savorycore/savoryengine/raw_test.go
@@ -15,24 +15,18 @@
 // Guards against a response of an engine that breaks off or has no end and counts as a whole
 // one, or of which more than a bounded part is read.
 func TestResponsesWithoutEnd(t *testing.T) {
-	for _, r := range savoryraw.Responses() {
-		t.Run(r.Name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := &savoryraw.Server{Response: r, Fields: "Content-Type: text/event-stream"}
-			is.NoErr(s.Start())
-			defer s.Close()
-			c := &Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}, CallTimeout: time.Second}
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			run := &Run{Chain: []Hop{{Server: "e", Address: s.Address()}}}
-			err := c.Run(ctx, run, func(Event) bool { t.Error("an event is read"); return true })
-			is.True(err != nil)
-			is.Equal(savoryverdict.Of(err), savoryverdict.MayHaveRun)
-			_, err = c.Status(ctx, s.Address())
-			is.True(err != nil)
-			is.True(c.Order(ctx, s.Address(), Order{}) != nil)
-			is.True(s.Written() < 3*(maxResponseBytes+4<<20)) // the kernel buffers the rest
-		})
-	}
+	savoryraw.Each(t, "Content-Type: text/event-stream", func(t *testing.T, s *savoryraw.Server) {
+		is := is.New(t)
+		c := &Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}, CallTimeout: time.Second}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		run := &Run{Chain: []Hop{{Server: "e", Address: s.Address()}}}
+		err := c.Run(ctx, run, func(Event) bool { t.Error("an event is read"); return true })
+		is.True(err != nil)
+		is.Equal(savoryverdict.Of(err), savoryverdict.MayHaveRun)
+		_, err = c.Status(ctx, s.Address())
+		is.True(err != nil)
+		is.True(c.Order(ctx, s.Address(), Order{}) != nil)
+		is.True(s.Written() < 3*(maxResponseBytes+4<<20)) // the kernel buffers the rest
+	})
 }
--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"testing"
 	"time"
 )
 
@@ -43,6 +44,12 @@
 	return Response{text: strings.ReplaceAll(text, "\n", "\r\n")}
 }
 
+// HasHead reports whether the head of the final response is complete.
+func (r Response) HasHead() bool {
+	head, _, found := strings.Cut(r.text, "\r\n\r\n")
+	return found && strings.Contains(head, "FIELDS")
+}
+
 // Endless reports whether the response has no end.
 func (r Response) Endless() bool { return strings.Contains(r.text, "<ENDLESS ") }
 
@@ -101,6 +108,22 @@
 	written  atomic.Int64
 }
 
+// Each runs check in parallel for all responses of responses.txt and for extra ones, each with a
+// server that sends it with the header fields.
+func Each(t *testing.T, fields string, check func(t *testing.T, s *Server), extra ...Response) {
+	for _, r := range append(Responses(), extra...) {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			s := &Server{Response: r, Fields: fields}
+			if err := s.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(s.Close)
+			check(t, s)
+		})
+	}
+}
+
 // Start opens the listener and serves until Close.
 func (s *Server) Start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -45,6 +45,22 @@
 // errWatchTooLarge is returned if a message of a watch exceeds maxWatchBytes.
 var errWatchTooLarge = fmt.Errorf("a message of the watch exceeds %d bytes", maxWatchBytes)
 
+// maxHeaderBytes bounds the header of a response. The library's default is 10 MB.
+const maxHeaderBytes = 64 << 10
+
+// httpClient carries the calls of all stores.
+var httpClient = &http.Client{Transport: boundedTransport()}
+
+func boundedTransport() http.RoundTripper {
+	shared, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport // replaced by a test
+	}
+	t := shared.Clone()
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return t
+}
+
 // maxReadTimeouts bounds a read whose response makes progress, as a multiple of
 // the timeout.
 const maxReadTimeouts = 5
@@ -65,8 +81,6 @@
 	Timeout time.Duration
 	// OnCall, if set, is called after each call except Watch.
 	OnCall func(op string, err error)
-
-	client http.Client
 }
 
 // Value is the content of one key. The zero Value stands for an absent key.
@@ -356,7 +370,7 @@
 	resp, err := s.post(ctx, path, body)
 	if err != nil {
 		// The connection may be broken: the next call opens a new one.
-		s.client.CloseIdleConnections()
+		httpClient.CloseIdleConnections()
 		return &Error{Op: op, Verdict: savoryverdict.OfDial(err), Err: err}
 	}
 	defer resp.Body.Close()
@@ -403,7 +417,7 @@
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return s.client.Do(req)
+	return httpClient.Do(req)
 }
 
 func swapTxn(swap Swap) TxnRequest {
--- a/savoryentry/savorynode/transport_test.go
+++ b/savoryentry/savorynode/transport_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -16,25 +15,20 @@
 // megabytes for each request, or counts as a response.
 func TestBrokenResponseHeader(t *testing.T) {
 	const kernelBytes = 6 << 20 // what the kernel buffers on loopback
-	for _, r := range savoryraw.Responses() {
-		t.Run(r.Name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := &savoryraw.Server{Response: r, Fields: "A: b"}
-			is.NoErr(s.Start())
-			defer s.Close()
-			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-			defer cancel()
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address().String()+"/", http.NoBody)
-			is.NoErr(err)
-			resp, err := transport(true).RoundTrip(req)
-			if err == nil {
-				defer resp.Body.Close()
-				is.True(strings.Contains(r.Name, "chunk") || strings.Contains(r.Name, "body") || strings.Contains(r.Name, "failure") || strings.Contains(r.Name, "trailer"))
-				return
-			}
-			is.NoErr(ctx.Err()) // the header ends the request, not the deadline
-			is.True(s.Written() < maxResponseHeaderBytes+kernelBytes)
-		})
-	}
+	savoryraw.Each(t, "A: b", func(t *testing.T, s *savoryraw.Server) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address().String()+"/", http.NoBody)
+		is.NoErr(err)
+		resp, err := transport(true).RoundTrip(req)
+		if err == nil {
+			defer resp.Body.Close()
+			is.True(s.Response.HasHead())
+			return
+		}
+		is.True(!s.Response.HasHead())
+		is.NoErr(ctx.Err()) // the header ends the request, not the deadline
+		is.True(s.Written() < maxResponseHeaderBytes+kernelBytes)
+	})
 }
