--- a/savorycore/savorynews/news.go
+++ b/savorycore/savorynews/news.go
@@ -1,5 +1,5 @@
-// Package savorynews decides whether the configuration that an entry has in force may be out of
-// date, from the versions that the entry hears of and from the readings of the store that
+// Package savorynews decides whether the configuration that an entry has in force may be out
+// of date, from the versions that the entry hears of and from the readings of the store that
 // found none newer. It is pure: times are arguments.
 package savorynews
 
@@ -32,8 +32,8 @@
 	// newest is the newest version heard of, heardAt when it was first.
 	newest  int64
 	heardAt time.Time
-	// confirmedAt is the time of the last known reading of the store that found no version newer than
-	// inForce, reading its ID.
+	// confirmedAt is the time of the last known reading of the store that found no version
+	// newer than inForce, reading its ID.
 	confirmedAt time.Time
 	reading     uint64
 	// seen are the IDs of readings whose times were used, oldest first. A time that comes back
@@ -61,8 +61,8 @@
 	return now.Sub(t.heardAt)
 }
 
-// Confirm records a reading of the store, at a time, that found no version newer than the one in
-// force. The ID of a reading is never 0. Each ID counts once.
+// Confirm records a reading of the store, at a time, that found no version newer than the
+// one in force. The ID of a reading is never 0. Each ID counts once.
 func (t *Tracker) Confirm(reading uint64, at time.Time) {
 	if slices.Contains(t.seen, reading) {
 		return
@@ -105,6 +105,3 @@
 	}
 	return now.Sub(t.heardAt)
 }
-
-// Newest returns the newest version that the entry knows.
-func (t *Tracker) Newest() int64 { return max(t.inForce, t.newest) }
--- a/savorycore/savorynews/news_test.go
+++ b/savorycore/savorynews/news_test.go
@@ -28,7 +28,6 @@
 	is.Equal(n.BehindFor(now.Add(time.Second)), time.Second)
 	is.Equal(n.SetInForce(7, now.Add(time.Second)), time.Second)
 	is.Equal(n.Doubt(now.Add(time.Second), maxAge), None)
-	is.Equal(n.Newest(), int64(7))
 }
 
 // Pattern: entries pass readings to each other for a long time after the last reading of the
--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// confirmConfig records a reading of the store, at a time, that found no version newer than the one
-// in force.
+// confirmConfig records a reading of the store, at a time, that found no version newer than the
+// one in force.
 func (g *Gate) confirmConfig(reading uint64, at time.Time) {
 	g.news.mu.Lock()
 	defer g.news.mu.Unlock()
@@ -64,19 +64,18 @@
 	return behindFor > storeTimeout && now.Sub(g.fetch.progressAt.Load()) > storeTimeout
 }
 
-// selectRoute selects the route and the customer of the request. If the configuration has none and is
-// known to be out of date, it waits for the newer one as for the first one at a start.
+// selectRoute selects the route and the customer of the request. If the configuration lacks one
+// of them and a newer one is known to exist, it waits for that.
 func (c *call) selectRoute() *savoryverdict.Error {
 	err := c.match()
-	if err == nil || c.g.configDoubt(c.startedAt) == savorynews.None {
-		return err
-	}
-	if c.g.configDoubt(c.startedAt) == savorynews.Behind && c.awaitTable() {
+	if err != nil && c.g.configDoubt(c.startedAt) == savorynews.Behind && c.awaitNewerTable() {
 		err = c.match()
 	}
-	now := c.g.now()
-	doubt := c.g.configDoubt(now)
-	if err == nil || doubt == savorynews.None {
+	if err == nil {
+		return nil
+	}
+	doubt := c.g.configDoubt(c.g.now())
+	if doubt == savorynews.None {
 		return err
 	}
 	refusal := savoryverdict.Unavailable("Configuration"+string(doubt), busyRetryDelay, "the configuration may be out of date")
@@ -84,9 +83,9 @@
 	return refusal
 }
 
-// awaitTable waits for a newer routing table and reports whether there is one.
-func (c *call) awaitTable() bool {
-	return c.g.waitAtStart(c.r.Context(), c.caller.Deadline, func() bool {
+// awaitNewerTable waits for a newer routing table and reports whether there is one.
+func (c *call) awaitNewerTable() bool {
+	return c.g.awaitState(c.r.Context(), c.caller.Deadline, func() bool {
 		t := c.g.table.Load()
 		if t == c.table {
 			return false
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -38,30 +38,31 @@
 )
 
 const (
-	// maxStartWait bounds the wait of a request for the first configuration
-	// and list of servers, and startWaitFraction bounds it as a fraction of
-	// the time that the caller allows. A starting entry reads both quickly if
-	// the store is available.
-	maxStartWait      = 500 * time.Millisecond
-	startWaitFraction = 0.25
-	// startPollInterval is the time between two checks during this wait.
-	startPollInterval = 20 * time.Millisecond
+	// maxStateWait bounds the wait of a request for the first configuration
+	// and list of servers, or for a newer configuration, and stateWaitFraction bounds it
+	// as a fraction of the time that the caller allows. An entry gets them quickly if
+	// the store or a peer is available.
+	maxStateWait      = 500 * time.Millisecond
+	stateWaitFraction = 0.25
+	// statePollInterval is the time between two checks during this wait.
+	statePollInterval = 20 * time.Millisecond
 )
 
 // awaitStart waits for the first configuration and list of servers. It does not
 // wait while the store is known to be unreachable. The deadline is the time
 // that the caller allows, 0 if it states none.
 func (g *Gate) awaitStart(ctx context.Context, deadline time.Duration) {
-	g.waitAtStart(ctx, deadline, func() bool {
+	g.awaitState(ctx, deadline, func() bool {
 		return g.table.Load() != nil && g.view.hasList() || g.storeUnreachable.Load()
 	})
 }
 
-// waitAtStart waits until a condition is met, and reports whether it is.
-func (g *Gate) waitAtStart(ctx context.Context, deadline time.Duration, met func() bool) bool {
-	wait := maxStartWait
+// awaitState waits until the entry has the state that a request needs, and reports whether it
+// has. The deadline is as for awaitStart.
+func (g *Gate) awaitState(ctx context.Context, deadline time.Duration, met func() bool) bool {
+	wait := maxStateWait
 	if deadline > 0 {
-		wait = min(wait, time.Duration(startWaitFraction*float64(deadline)))
+		wait = min(wait, time.Duration(stateWaitFraction*float64(deadline)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -69,7 +70,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-time.After(startPollInterval):
+		case <-time.After(statePollInterval):
 		}
 	}
 	return true
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -90,9 +90,9 @@
 }
 
 // pollStore calls read at the interval of the readings while this entry is the
-// reader, its list is stale, it has no configuration or urgent returns true. Failed readings back off,
-// since every entry reads while the store is unreachable. An entry that passes nothing on
-// spaces readings for which read returns a transfer.
+// reader, its list is stale, it has no configuration or urgent returns true. Failed
+// readings back off, since every entry reads while the store is unreachable. An entry that
+// passes nothing on spaces readings for which read returns a transfer.
 func (g *Gate) pollStore(read func() (*transfer, error), urgent func(time.Time) bool) error {
 	var readAt time.Time
 	var last *transfer
