savorygate: a stopping entry takes no request once callers reach other entries

Cause: a mean says little of the one request, and idle connections that had been used were kept for a second like new ones. Ruled out: the listener, which was closed.

Change: from the closing of the listener on every request is refused as not run, with a time to return, and used connections are closed as soon as they are idle. Other entries serve their callers at once by then.

--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -85,6 +85,8 @@
 	cutCalls context.CancelCauseFunc
 	stopOnce sync.Once
 	stopping atomic.Bool
+	// frontClosed is set once the listener for callers is closed in a planned stop.
+	frontClosed atomic.Bool
 	// stopEndsAt is when a planned stop cuts the requests that are left.
 	stopEndsAt       savoryworld.AtomicTime
 	ordering         atomic.Bool
@@ -108,9 +110,8 @@
 	idleMu sync.Mutex
 	// connCount is the number of connections of callers.
 	connCount int
-	// idleSince holds the idle connections of callers. The time is zero once the
-	// connection is being closed.
-	idleSince map[net.Conn]time.Time
+	// idle holds the connections of callers that wait for a request.
+	idle map[net.Conn]idleConn
 }
 
 // Configure sets the settings; it may be called again while the gate runs.
@@ -159,7 +160,7 @@
 	g.configClient = &savorypeer.Client{Timeout: partTimeout, Dial: g.Dial}
 	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
 	g.budgets = make(map[string]*savorylimit.WindowBudget)
-	g.idleSince = make(map[net.Conn]time.Time)
+	g.idle = make(map[net.Conn]idleConn)
 	g.calls, g.cutCalls = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer g.cutCalls(nil)
 	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
@@ -283,13 +284,21 @@
 		g.connCount--
 	}
 	if state == http.StateIdle || state == http.StateNew {
-		g.idleSince[c] = g.now()
+		g.idle[c] = idleConn{since: g.now(), unused: state == http.StateNew}
 		return
 	}
-	if since, ok := g.idleSince[c]; ok && state == http.StateActive && since.IsZero() {
+	if idle, ok := g.idle[c]; ok && state == http.StateActive && idle.closing {
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	delete(g.idleSince, c)
+	delete(g.idle, c)
+}
+
+// idleConn is a connection of a caller that waits for a request.
+type idleConn struct {
+	since time.Time
+	// unused is set if it had no request yet, closing once it is being closed.
+	unused  bool
+	closing bool
 }
 
 // sweep closes idle connections whose time is over. It also updates the retry
@@ -311,20 +320,26 @@
 		if cfg == nil || cfg.Limits.IdleTimeout <= 0 {
 			continue
 		}
-		g.closeIdle(now, cfg.Limits.IdleTimeout+sweepInterval)
+		timeout := cfg.Limits.IdleTimeout + sweepInterval
+		g.closeIdle(now, timeout, timeout)
 	}
 	return nil
 }
 
-// closeIdle closes the connections that were idle for longer than timeout. It ends
-// their wait for a request instead of closing them, because a request may just have
-// been read; connState then lets the connection go on.
-func (g *Gate) closeIdle(now time.Time, timeout time.Duration) {
+// closeIdle closes the connections that were idle for longer than timeout, or unusedTimeout
+// if they had no request yet. It ends their wait for a request instead of closing them,
+// because a request may just have been read; connState then lets the connection go on.
+func (g *Gate) closeIdle(now time.Time, timeout, unusedTimeout time.Duration) {
 	g.idleMu.Lock()
 	defer g.idleMu.Unlock()
-	for c, since := range g.idleSince {
-		if now.Sub(since) > timeout {
-			g.idleSince[c] = time.Time{}
+	for c, idle := range g.idle {
+		limit := timeout
+		if idle.unused {
+			limit = unusedTimeout
+		}
+		if idle.closing || now.Sub(idle.since) >= limit {
+			idle.closing = true
+			g.idle[c] = idle
 			_ = c.SetReadDeadline(g.now()) // If this fails, the connection is closed.
 		}
 	}
--- a/savoryentry/savorygate/idle_test.go
+++ b/savoryentry/savorygate/idle_test.go
@@ -15,7 +15,7 @@
 // idleServer starts a server whose connections are tracked by a gate. onActive is called
 // when a request was read, before the gate is told.
 func idleServer(t *testing.T, onActive func(*Gate)) (*Gate, *httptest.Server) {
-	g := &Gate{idleSince: make(map[net.Conn]time.Time)}
+	g := &Gate{idle: make(map[net.Conn]idleConn)}
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-r.Context().Done():
@@ -38,7 +38,7 @@
 // read from it.
 func TestReadRequestIsNotIdle(t *testing.T) {
 	is := is.New(t)
-	_, server := idleServer(t, func(g *Gate) { g.closeIdle(time.Now().Add(time.Hour), time.Minute) })
+	_, server := idleServer(t, func(g *Gate) { g.closeIdle(time.Now().Add(time.Hour), time.Minute, time.Minute) })
 	for range 3 {
 		resp, err := server.Client().Post(server.URL, "", nil)
 		is.NoErr(err)
@@ -59,12 +59,12 @@
 		_, err = c.Write([]byte(request))
 		is.NoErr(err)
 		time.Sleep(200 * time.Millisecond)
-		g.closeIdle(time.Now(), time.Minute)
+		g.closeIdle(time.Now(), time.Minute, time.Minute)
 		is.NoErr(c.SetReadDeadline(time.Now().Add(100 * time.Millisecond)))
 		buf := make([]byte, 1<<10)
 		n, _ := c.Read(buf)
 		is.Equal(n > 0, request != "") // the connection is still open
-		g.closeIdle(time.Now().Add(time.Hour), time.Minute)
+		g.closeIdle(time.Now().Add(time.Hour), time.Minute, time.Minute)
 		is.NoErr(c.SetReadDeadline(time.Now().Add(time.Second)))
 		_, err = c.Read(buf)
 		is.True(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
--- a/savoryentry/savorygate/stop.go
+++ b/savoryentry/savorygate/stop.go
@@ -1,8 +1,8 @@
 package savorygate
 
 // This file defines the planned stop of an entry. Connections end with their last response,
-// and requests that would outlast the grace time are refused, so that their callers go to
-// another entry.
+// and requests that may outlast the grace time are refused as not run, so that their callers
+// go to another entry.
 
 import (
 	"errors"
@@ -24,7 +24,8 @@
 	closeMargin = 500 * time.Millisecond
 	cutMargin   = 200 * time.Millisecond
 	// unusedConnTime is how long a connection without a request is kept after the listener
-	// has closed: a caller that has just opened it sends a request at once.
+	// has closed: a caller that has just opened it sends a request at once, and must hear
+	// that it has not run.
 	unusedConnTime = time.Second
 	// stopPollInterval is the time between two checks whether all connections have ended.
 	stopPollInterval = 20 * time.Millisecond
@@ -58,6 +59,7 @@
 	}
 	stopStartedAt := g.now()
 	g.sleep(balancerNoticeDelay)
+	g.frontClosed.Store(true)
 	if err := front.Close(); err != nil {
 		g.Log.WithError(err).Warn("listener for callers not closed")
 	}
@@ -73,7 +75,7 @@
 // those that wait for a request.
 func (g *Gate) awaitConns(until time.Time) {
 	for g.alive() && g.openConns() > 0 && g.now().Before(until) {
-		g.closeIdle(g.now(), unusedConnTime)
+		g.closeIdle(g.now(), 0, unusedConnTime)
 		g.sleep(stopPollInterval)
 	}
 }
@@ -85,8 +87,12 @@
 	return g.connCount
 }
 
-// refuseIfStopping refuses a request that a planned stop would probably cut.
+// refuseIfStopping refuses a request that a planned stop may cut: one that usually takes
+// longer than is left, and any one once callers reach other entries.
 func (c *call) refuseIfStopping() *savoryverdict.Error {
+	if c.g.frontClosed.Load() {
+		return savoryverdict.Unavailable("Stopping", stopRetryDelay, "this entry is stopping")
+	}
 	if !c.g.stopping.Load() {
 		return nil
 	}
