savorygate: logs and metrics tell an overloaded entry from a slow engine

What could not be told apart: an entry that lacks processor from one whose link or peers are slow (C1 against C3), and of a late stream the wait before its first send, the first event and the longest gap by its cause (S1, S2, S3).

Added: a line and a histogram for timers that fire late, a histogram for the time of exchanges on both sides, and waitMs, firstSentMs and gapCause in 'request ended'. The state that needs the settings is made by prepare, so that tests can use a gate that does not listen. No decision is changed.

--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -117,8 +117,14 @@
 	// firstByteAt is when the first part of the response was written to the
 	// caller; zero before that.
 	firstByteAt time.Time
-	// maxGap is the longest time between two events of a stream.
-	maxGap time.Duration
+	// sentAt is when the request was first sent to a backend server, firstSentAt when the send
+	// whose response came first was; zero before that.
+	sentAt      time.Time
+	firstSentAt time.Time
+	// maxGap is the longest time between two events of a stream, and gapCause what happened in
+	// it.
+	maxGap   time.Duration
+	gapCause gapCause
 }
 
 // ServeHTTP serves one request of a caller.
@@ -291,6 +297,16 @@
 	}
 }
 
+// recordSent records a send to a backend server, whose response may become the first.
+func (c *call) recordSent(now time.Time) {
+	if c.sentAt.IsZero() {
+		c.sentAt = now
+	}
+	if c.firstByteAt.IsZero() {
+		c.firstSentAt = now
+	}
+}
+
 // promisesNotRun reports whether a response with this status promises that the
 // request has not run.
 func promisesNotRun(status int) bool {
@@ -374,8 +390,14 @@
 	if c.route != nil {
 		logger = logger.WithField("route", c.route.Name)
 	}
+	if !c.sentAt.IsZero() {
+		logger = logger.WithField("waitMs", c.sentAt.Sub(c.startedAt).Milliseconds())
+	}
 	if !c.firstByteAt.IsZero() {
-		logger = logger.WithFields(log.Fields{"firstMs": c.firstByteAt.Sub(c.startedAt).Milliseconds(), "maxGapMs": c.maxGap.Milliseconds(), "late": late})
+		logger = logger.WithFields(log.Fields{
+			"firstMs": c.firstByteAt.Sub(c.startedAt).Milliseconds(), "firstSentMs": c.firstSentAt.Sub(c.startedAt).Milliseconds(),
+			"maxGapMs": c.maxGap.Milliseconds(), "gapCause": string(c.gapCause), "late": late,
+		})
 	}
 	if e != nil {
 		logger = logger.WithFields(log.Fields{"code": code, "cause": e.Error(), "parts": partIDs(c.prompt)})
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -79,6 +79,7 @@
 	metrics      *metrics
 	quarantine   quarantine
 	inFlight     atomic.Int64
+	exchanges    exchangeCounts
 	durations    durations
 	// calls is the context of all requests of callers; cutCalls ends it.
 	calls    context.Context
@@ -141,26 +142,7 @@
 func (g *Gate) Run(ctx context.Context) error {
 	s := g.Settings()
 	g.ctx = g.tomb.Context(ctx) //nolint:contextcheck // the tomb ends it
-	g.startedAt = g.now()
-	g.metrics = newMetrics(g.LogDropped)
-	g.view.zone = s.Zone
-	g.view.notices.Entry = s.Peers.String()
-	g.view.chainTables = nil
-	g.quarantine.tracker.Entry = s.Name
-	g.relay = relay{
-		self:  savorypeer.Entry{Address: s.Peers, Zone: s.Zone, Strength: s.Strength},
-		peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
-		draining: g.stopping.Load, storeWorks: g.storeWorks,
-	}
-	for _, seed := range s.Seeds {
-		g.relay.addEntries([]savorypeer.Entry{{Address: seed}}, g.now())
-	}
-	g.peerClient = &savorypeer.Client{Timeout: syncTimeout, Dial: g.Dial}
-	g.partsServed = make(chan struct{}, maxPartsServed)
-	g.configClient = &savorypeer.Client{Timeout: partTimeout, Dial: g.Dial}
-	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
-	g.budgets = make(map[string]*savorylimit.WindowBudget)
-	g.idle = make(map[net.Conn]idleConn)
+	g.prepare(s)
 	g.calls, g.cutCalls = context.WithCancelCause(context.WithoutCancel(ctx))
 	defer g.cutCalls(nil)
 	g.Log.WithFields(log.Fields{"name": s.Name, "zone": s.Zone, "front": s.Front.String(), "peers": s.Peers.String()}).Info("entry starts")
@@ -189,6 +171,30 @@
 	return err
 }
 
+// prepare makes the state that needs the settings.
+func (g *Gate) prepare(s *Settings) {
+	g.startedAt = g.now()
+	g.metrics = newMetrics(g.LogDropped)
+	g.view.zone = s.Zone
+	g.view.notices.Entry = s.Peers.String()
+	g.view.chainTables = nil
+	g.quarantine.tracker.Entry = s.Name
+	g.relay = relay{
+		self:  savorypeer.Entry{Address: s.Peers, Zone: s.Zone, Strength: s.Strength},
+		peers: make(map[netip.AddrPort]*relayPeer), wake: make(chan struct{}, 1),
+		draining: g.stopping.Load, storeWorks: g.storeWorks,
+	}
+	for _, seed := range s.Seeds {
+		g.relay.addEntries([]savorypeer.Entry{{Address: seed}}, g.now())
+	}
+	g.peerClient = &savorypeer.Client{Timeout: syncTimeout, Dial: g.Dial}
+	g.partsServed = make(chan struct{}, maxPartsServed)
+	g.configClient = &savorypeer.Client{Timeout: partTimeout, Dial: g.Dial}
+	g.serverClient = &savoryconn.Client{DialTimeout: dialTimeout, OnDial: g.metrics.dials.Inc, Dial: g.Dial}
+	g.budgets = make(map[string]*savorylimit.WindowBudget)
+	g.idle = make(map[net.Conn]idleConn)
+}
+
 // listen opens the listeners and serves on them.
 func (g *Gate) listen(s *Settings) error {
 	front, err := net.Listen("tcp", s.Front.String())
@@ -305,8 +311,12 @@
 // budgets and the metrics of the servers.
 func (g *Gate) sweep() error {
 	for g.alive() {
+		setAt, called, answered := g.now(), g.exchanges.called.Load(), g.exchanges.answered.Load()
 		g.sleep(sweepInterval)
 		now := g.now()
+		if g.alive() {
+			g.recordTimerDelay(now.Sub(setAt)-sweepInterval, called, answered)
+		}
 		g.serverClient.CloseExpired(now)
 		g.view.expireSlowdowns(now, g.config())
 		g.view.expireNotices(now)
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -22,6 +22,8 @@
 	retries          *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
 	peerCalls        *prometheus.CounterVec
+	syncDuration     *prometheus.HistogramVec
+	timerDelay       prometheus.Histogram
 	storeReceived    prometheus.Counter
 	orders           *prometheus.CounterVec
 	dials            prometheus.Counter
@@ -55,12 +57,19 @@
 		retries:          newCounterVec("retries_total", "Requests sent again, by what is known of the failed one.", "verdict"),
 		storeCalls:       newCounterVec("store_calls_total", "Calls of the platform's store by operation and result.", "operation", "result"),
 		peerCalls:        newCounterVec("peer_calls_total", "Calls of other entries by operation and result.", "operation", "result"),
-		storeReceived:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations and lists of servers received from the platform's store."}),
-		orders:           newCounterVec("orders_total", "Orders to engines by kind and result.", "kind", "result"),
-		dials:            prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
-		configAge:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_age_seconds", Help: "Time since the last reading of the store that found no newer configuration."}),
-		version:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
-		listAge:          prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "list_age_seconds", Help: "Age of the list of servers."}),
+		syncDuration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "sync_seconds", Help: "Time of an exchange with a peer: called until its response, answered to make the response.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2.5, 12),
+		}, []string{"side"}),
+		timerDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: metricsPrefix, Name: "timer_delay_seconds", Help: "How late a timer fired: the entry waits for its processor.", Buckets: buckets,
+		}),
+		storeReceived: prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "store_received_bytes_total", Help: "Bytes of configurations and lists of servers received from the platform's store."}),
+		orders:        newCounterVec("orders_total", "Orders to engines by kind and result.", "kind", "result"),
+		dials:         prometheus.NewCounter(prometheus.CounterOpts{Namespace: metricsPrefix, Name: "server_connections_total", Help: "New connections to backend servers."}),
+		configAge:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_age_seconds", Help: "Time since the last reading of the store that found no newer configuration."}),
+		version:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "configuration_version", Help: "Version of the configuration in force."}),
+		listAge:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "list_age_seconds", Help: "Age of the list of servers."}),
 		servers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "servers", Help: "Backend servers by state.",
 		}, []string{"state"}),
@@ -76,7 +85,7 @@
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.orders,
+	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.syncDuration, m.timerDelay, m.orders,
 		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -228,6 +228,7 @@
 	c.sends++
 	c.g.recordSend(c.service.Name, c.sends)
 	sentAt := c.g.now()
+	c.recordSent(sentAt)
 	response, err := c.g.serverClient.Do(ctx, choice.server.Address, req)
 	if err != nil {
 		cancel()
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -257,6 +257,7 @@
 		release()
 		return nil, false
 	}
+	a.recordGapCause(gapMoved)
 	g.view.endChain(a.service.Name, chain, a.tokens)
 	return nil, true
 }
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -63,7 +63,7 @@
 	// mediaType is that of the response whose header was copied.
 	mediaType string
 
-	// mu guards sends, unsent, firstServers, avoided, eventCount and endsInRow, which the
+	// mu guards sends, unsent, firstServers, avoided, eventCount, endsInRow and nextGap, which the
 	// stallWatch of an attempt and the checks of ended engines use as well.
 	mu sync.Mutex
 	// unsent is the number of sends that never left this entry.
@@ -81,11 +81,39 @@
 	// endsInRow is the number of engines that ended under the request since its answer last
 	// went on.
 	endsInRow int
+	// nextGap is what happened since the last event.
+	nextGap gapCause
 	// retryTaken is set if reserveRetry took a retry from the budget that no
 	// send has used yet.
 	retryTaken atomic.Bool
 }
 
+// gapCause is what happened between two events of a stream.
+type gapCause string
+
+// The causes of a gap. gapEngine means that the chain made no event and nothing was changed.
+const (
+	gapEngine gapCause = "engine"
+	gapMoved  gapCause = "moved"
+	gapResent gapCause = "resent"
+)
+
+// recordGapCause records that the stream was moved or sent again since its last event.
+func (s *stream) recordGapCause(c gapCause) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextGap = c
+}
+
+// takeGapCause returns the cause of the gap that ends now.
+func (s *stream) takeGapCause() gapCause {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.nextGap
+	s.nextGap = gapEngine
+	return c
+}
+
 // errStalled is the cause of the end of an attempt that made no event for too
 // long.
 var errStalled = errors.New("no event arrived in time")
@@ -409,6 +437,8 @@
 	a.events.nextServer()
 	a.g.recordSend(a.service.Name, a.countSend())
 	sentAt := a.g.now()
+	a.recordSent(sentAt)
+	a.recordGapCause(gapResent)
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
 	if err != nil {
 		a.recordError(ctx, err)
@@ -481,8 +511,9 @@
 	if n > 0 {
 		now := a.g.now()
 		a.g.metrics.eventGap.Observe(now.Sub(a.lastEventAt).Seconds())
-		if a.eventCount > 0 {
-			a.maxGap = max(a.maxGap, now.Sub(a.lastEventAt))
+		cause := a.takeGapCause()
+		if gap := now.Sub(a.lastEventAt); a.eventCount > 0 && gap > a.maxGap {
+			a.maxGap, a.gapCause = gap, cause
 		}
 		a.lastEventAt = now
 		a.recordEvents(n)
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -62,6 +63,8 @@
 	sent, startedAt := g.syncState(g.relay.entry(address), known), g.now()
 	state, err := g.peerClient.Sync(g.ctx, address, sent)
 	g.metrics.peerCalls.WithLabelValues("sync", resultOf(err)).Inc()
+	g.metrics.syncDuration.WithLabelValues("called").Observe(g.now().Sub(startedAt).Seconds())
+	g.exchanges.called.Add(1)
 	if err != nil {
 		if g.ctx.Err() == nil {
 			g.logFailedCall(address, sent, g.now().Sub(startedAt), err)
@@ -96,8 +99,32 @@
 
 // handleSync records a peer's state and returns this entry's.
 func (g *Gate) handleSync(_ context.Context, s *savorypeer.SyncState) (*savorypeer.SyncState, error) {
+	startedAt := g.now()
 	g.applySyncState(s)
-	return g.syncState(s.From, &s.Known), nil
+	state := g.syncState(s.From, &s.Known)
+	g.metrics.syncDuration.WithLabelValues("answered").Observe(g.now().Sub(startedAt).Seconds())
+	g.exchanges.answered.Add(1)
+	return state, nil
+}
+
+// exchangeCounts counts the exchanges with peers.
+type exchangeCounts struct{ called, answered atomic.Int64 }
+
+// minLoggedDelay is the delay of a timer from which on it is logged: as long as an exchange
+// may take, so that peers begin to miss this entry's responses.
+const minLoggedDelay = syncTimeout
+
+// recordTimerDelay records how late a timer fired. called and answered are the counts of
+// exchanges when it was set.
+func (g *Gate) recordTimerDelay(delay time.Duration, called, answered int64) {
+	g.metrics.timerDelay.Observe(max(0, delay).Seconds())
+	if delay < minLoggedDelay {
+		return
+	}
+	g.Log.WithFields(log.Fields{
+		"delayMs": delay.Milliseconds(), "called": g.exchanges.called.Load() - called, "answered": g.exchanges.answered.Load() - answered,
+		"requests": g.inFlight.Load(), "orderer": g.ordering.Load(),
+	}).Warn("timer fired late: the process was paused, or waits for its processor")
 }
 
 // syncState returns this entry's state for a peer that has the known versions. With
