savoryecho: ages in messages between entries include the time on the way

What callers saw: nothing yet that is shown to come from this alone.

Cause: an age in a message was that of the moment when the message was made, and its receiver counted it from the receipt. Each hop hid its delay, up to the 500 ms that a call may take. A configuration passes up to three hops (reader, leader, leader, entry), so an entry could count it as 1.5 s newer than it was, and denied by it, or didn't read for itself, for that long.

Ruled out: clocks (ages are differences on one clock each); ages that come back (each reading counts once).

Change: each message carries a number and echoes the last one received, with the time since. The receiver so knows a time before which the message wasn't made, and adds the rest to every age: configuration, list of servers, failures, slowdowns, limits, quarantine. What can't be dated doesn't confirm anything. Messages of builds without stamps count as responses do, from the request.

TestAgeIsNotRenewed is stricter: it allowed the delays of one path, now none.

Not shown: that this caused one of the reported CONFIG lines. A suspended peer understates Held on a clock that stands still; that is open.

--- a/savorycore/savorynews/news_test.go
+++ b/savorycore/savorynews/news_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"savorycart.example/savorycore/savoryecho"
 )
 
 const maxAge = 2 * time.Second
@@ -32,13 +34,14 @@
 
 // Pattern: entries pass readings to each other for a long time after the last reading of the
 // store, with delays. Guards against an age that is renewed by its way over other entries: no
-// entry may count as confirmed for longer than the delays of one path.
+// entry may count a reading as later than it was.
 func TestAgeIsNotRenewed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const entries, maxDelay = 4, 500 * time.Millisecond
 		readAt := time.Unix(1000, 0)
 		now := readAt
 		var all [entries]Tracker
+		var echoes [entries][entries]savoryecho.Peer
 		for i := range all {
 			all[i].SetInForce(1, now)
 		}
@@ -46,13 +49,15 @@
 		for range rapid.IntRange(1, 200).Draw(t, "messages") {
 			from, to := rapid.IntRange(0, entries-1).Draw(t, "from"), rapid.IntRange(0, entries-1).Draw(t, "to")
 			id, age := all[from].LastReading(now)
+			stamp := echoes[from][to].Send(now)
 			now = now.Add(time.Duration(rapid.IntRange(0, int(maxDelay)).Draw(t, "delay")))
-			if id != 0 {
-				all[to].Confirm(id, now.Add(-age))
+			madeAt := echoes[to][from].Receive(stamp, now)
+			if id != 0 && !madeAt.IsZero() {
+				all[to].Confirm(id, madeAt.Add(-age))
 			}
 		}
 		for i := range all {
-			if late := all[i].confirmedAt.Sub(readAt); late > (entries-1)*maxDelay {
+			if late := all[i].confirmedAt.Sub(readAt); late > 0 {
 				t.Fatalf("entry %d counts the reading %s too late", i, late)
 			}
 		}
--- a/savorycore/savorypeer/golden_test.go
+++ b/savorycore/savorypeer/golden_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryecho"
 	"savorycart.example/savorycore/savorygolden"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
@@ -66,7 +67,7 @@
 			Root: []byte("root"), Buckets: buckets, Marks: marks, Quarantine: quarantine,
 		}},
 		{Name: "news", Value: &SyncState{
-			From: entry, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
+			From: entry, Stamp: savoryecho.Stamp{Number: 12, Echo: 11, Held: time.Millisecond}, Draining: true, StoreWorks: true, Orderer: true, Entries: []Entry{entry},
 			Known: Versions{Config: 9, ListRevision: 71, ListPrint: 99, ListAge: time.Second, ListReading: 98, ListEra: 3, StoreEra: 4, ConfigReading: 95, ConfigAge: 3 * time.Second, FetchesConfig: true, PromptPrint: 97, TracksPrompts: true, NoticePrint: 96, TracksNotices: true},
 			Loads: []savorypath.Load{{Server: "oak-1", Requests: 3, Memory: 2.5, First: 1}}, Relayed: true,
 			Faults:     []ServerFailure{{Server: "oak-1", Age: 2 * time.Second}},
--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"savorycart.example/savorycore/savoryecho"
 	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryquarantine"
@@ -32,7 +33,7 @@
 	StoreEra int64 `msgpack:",omitempty"`
 	ListAge  time.Duration
 	// ListReading identifies that read. A receiver uses the age of each read only
-	// once: it subtracts ListAge from its own time of receipt, so every hop moves
+	// once: from a build without stamps it counts from the receipt, so every hop moves
 	// the time of the read forward by the delay of the message, and an age that
 	// came back would make the list look newer than it is.
 	ListReading uint64
@@ -91,6 +92,9 @@
 // other side is known to lack it, Config only if it does not fetch it itself either.
 type SyncState struct {
 	From Entry
+	// Stamp tells the receiver how old the message may be. All ages in it are those at the
+	// time when it was made.
+	Stamp savoryecho.Stamp `msgpack:",omitempty"`
 	// Draining is set if the sender is in a planned shutdown.
 	Draining bool `msgpack:",omitempty"`
 	// StoreWorks is set if the sender has recently reached the store, Orderer if
@@ -132,6 +136,9 @@
 			return fmt.Errorf("SyncState.Entries[%d].Address: is not an IP address with a port", i)
 		}
 	}
+	if err := n.Stamp.Check(); err != nil {
+		return fmt.Errorf("SyncState.%w", err)
+	}
 	if err := checkSlowdowns(n.Slowdowns); err != nil {
 		return err
 	}
@@ -162,6 +169,24 @@
 	return nil
 }
 
+// Delay adds d, the time since the state was made, to its ages.
+func (n *SyncState) Delay(d time.Duration) {
+	n.Known.ListAge += d
+	n.Known.ConfigAge += d
+	for i := range n.Faults {
+		n.Faults[i].Age += d
+	}
+	for i := range n.Slowdowns {
+		n.Slowdowns[i].Age += d
+	}
+	for i := range n.Notices {
+		n.Notices[i].Age += d
+	}
+	if n.Quarantine != nil {
+		n.Quarantine.Delay(d)
+	}
+}
+
 func checkSlowdowns(slowdowns []ServerSlowdown) error {
 	for i, s := range slowdowns {
 		if s.Factor < 1 || s.Age < 0 {
--- a/savorycore/savoryquarantine/state.go
+++ b/savorycore/savoryquarantine/state.go
@@ -64,6 +64,20 @@
 	Asked    int
 }
 
+// Delay adds d, the time since the state was made, to its ages.
+func (s *State) Delay(d time.Duration) {
+	for i := range s.Ends {
+		s.Ends[i].Age += d
+	}
+	for i := range s.Sound {
+		s.Sound[i].Age += d
+	}
+	for i := range s.Blames {
+		s.Blames[i].Age += d
+		s.Blames[i].TrialAge += d
+	}
+}
+
 // Check returns an error if the state is not well formed.
 func (s *State) Check() error {
 	if len(s.Ends) > maxEnds || len(s.Sound) > maxShared || len(s.Blames) > maxBlames {
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"savorycart.example/savorycore/savoryecho"
 	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
@@ -93,6 +94,8 @@
 	demands []savorynotice.Demand
 	relayed bool
 	calling bool
+	// echo dates the messages from the peer.
+	echo savoryecho.Peer
 	// failed is set while the last call to the peer failed and no contact followed.
 	failed bool
 	// reportedEntries is the fingerprint of the live entries that were last reported
@@ -446,3 +449,25 @@
 	}
 	return savorypeer.Entry{Address: address}
 }
+
+// stamp returns the stamp of a message to a peer that is made now. It is empty for an
+// unknown peer.
+func (r *relay) stamp(to netip.AddrPort, now time.Time) savoryecho.Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[to]; p != nil {
+		return p.echo.Send(now)
+	}
+	return savoryecho.Stamp{}
+}
+
+// madeAt returns a time before which a received state wasn't made, the zero time if its
+// stamp tells none.
+func (r *relay) madeAt(s *savorypeer.SyncState, now time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.peers[s.From.Address]; p != nil {
+		return p.echo.Receive(s.Stamp, now)
+	}
+	return time.Time{}
+}
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -60,7 +60,8 @@
 // syncWith exchanges state with one peer. known is as returned by beginCall.
 func (g *Gate) syncWith(address netip.AddrPort, known *savorypeer.Versions) {
 	defer g.relay.endCall(address)
-	sent, startedAt := g.syncState(g.relay.entry(address), known), g.now()
+	startedAt := g.now()
+	sent := g.syncState(g.relay.entry(address), known)
 	state, err := g.peerClient.Sync(g.ctx, address, sent)
 	g.metrics.peerCalls.WithLabelValues("sync", resultOf(err)).Inc()
 	g.metrics.syncDuration.WithLabelValues("called").Observe(g.now().Sub(startedAt).Seconds())
@@ -71,7 +72,7 @@
 		}
 		return
 	}
-	g.applySyncState(state)
+	g.applySyncState(state, startedAt)
 }
 
 // logFailedCall logs a failed call to a peer, the first after a contact at info level:
@@ -100,7 +101,7 @@
 // handleSync records a peer's state and returns this entry's.
 func (g *Gate) handleSync(_ context.Context, s *savorypeer.SyncState) (*savorypeer.SyncState, error) {
 	startedAt := g.now()
-	g.applySyncState(s)
+	g.applySyncState(s, time.Time{})
 	state := g.syncState(s.From, &s.Known)
 	g.metrics.syncDuration.WithLabelValues("answered").Observe(g.now().Sub(startedAt).Seconds())
 	g.exchanges.answered.Add(1)
@@ -138,7 +139,7 @@
 	cfg := g.config()
 	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
 	state := &savorypeer.SyncState{
-		From: g.relay.self, Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
+		From: g.relay.self, Stamp: g.relay.stamp(to.Address, now), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
@@ -168,15 +169,18 @@
 }
 
 // applySyncState applies the state received from a peer, and forwards it if it
-// changes anything.
-func (g *Gate) applySyncState(s *savorypeer.SyncState) {
+// changes anything. requestedAt is when it was requested, the zero time for the state of a
+// caller.
+func (g *Gate) applySyncState(s *savorypeer.SyncState, requestedAt time.Time) {
 	now := g.now()
 	if g.relay.recordState(s, now) {
 		g.Log.WithFields(log.Fields{"peer": s.From.Address.String(), "zone": s.From.Zone, "config": s.Known.Config}).Info("contact with peer established")
 	}
+	dated := g.date(s, requestedAt, now)
 	g.ObserveStoreEra(s.Known.StoreEra)
 	changed := s.Config != nil && g.setConfig(s.Config, "peer")
 	switch {
+	case !dated:
 	case s.Listing != nil:
 		changed = g.applyList(s.Listing, reading{id: s.Known.ListReading, at: now.Add(-s.Known.ListAge)}, "peer") || changed
 	case s.Known.ListRevision > 0:
@@ -198,10 +202,26 @@
 	}
 	if s.Known.Config > g.configVersion() {
 		g.hearConfig(s.Known.Config, s.From.Address.String())
-	} else if s.Known.ConfigReading != 0 {
+	} else if dated && s.Known.ConfigReading != 0 {
 		g.confirmConfig(s.Known.ConfigReading, now.Add(-s.Known.ConfigAge))
 	}
 	if s.Known.FetchesConfig {
 		g.startFetch(s.From.Address, s.Known.Config)
 	}
 }
+
+// date adds the time since a received state was made to the ages in it. It reports whether
+// that time is known. If it is not, the ages of events are still enough to use them, but
+// those of readings of the store are not: they would pass for newer than they are.
+func (g *Gate) date(s *savorypeer.SyncState, requestedAt, now time.Time) bool {
+	madeAt := g.relay.madeAt(s, now)
+	if requestedAt.After(madeAt) {
+		madeAt = requestedAt
+	}
+	if madeAt.IsZero() {
+		s.Delay(syncTimeout)
+		return false
+	}
+	s.Delay(now.Sub(madeAt))
+	return true
+}
