savorygate: entries that are lost for good stop counting as live

What callers saw: shares of retry budgets, limits and pauses that follow a count of live entries with lost ones in it, so retries were refused too early.

Cause: a member of a zone reports to its leader, among the live entries, those of other zones of which only the leader can have told it, and the leader took the report as news. Each side so confirmed a lost entry to the other for ever. In a fleet of two entries in each zone the same happened between the two.

Ruled out: the removal of peers after 30 s (it counts reports as well).

Change: a report on an entry counts from a sender in the entry's zone, which is in contact with it, or from the leader of the receiver's own zone. A small fleet, where all are in contact, no longer passes on what it was told.

--- a/savoryentry/savorygate/entries.go
+++ b/savoryentry/savorygate/entries.go
@@ -16,14 +16,15 @@
 	"savorycart.example/savorycore/savorypeer"
 )
 
-// entriesToReport returns the live peers, and the entries of other zones that were
-// lately reported as live.
+// entriesToReport returns the live peers. In a large fleet it adds the entries of other
+// zones that were lately reported as live.
 func (r *relay) entriesToReport(now time.Time) []savorypeer.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []savorypeer.Entry
+	large := r.large()
 	for _, p := range r.peers {
-		if p.live(now) || p.entry.Zone != r.self.Zone && now.Sub(p.reportedAt) < peerTTL {
+		if p.live(now) || large && p.entry.Zone != r.self.Zone && now.Sub(p.reportedAt) < peerTTL {
 			all = append(all, p.entry)
 		}
 	}
--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -182,6 +182,50 @@
 	}
 }
 
+// Pattern: entries that are lost for good: some of a zone, its leader, a whole zone, a third of
+// the fleet. Guards against entries that count as live for ever because the members of a zone
+// report to their leader what it has told them: retry budgets and limits are shared among the
+// live entries, so callers would be refused.
+func TestLostEntriesAreNotLive(t *testing.T) {
+	const zones = 3
+	// rounds is the number of exchanges in the window of the retry budgets, 10 s.
+	const rounds = int(10 * time.Second / syncInterval)
+	for _, perZone := range []int{2, 20} {
+		for _, test := range []struct {
+			name string
+			lost func(zone, i int) bool
+		}{
+			{"two of a zone", func(zone, i int) bool { return zone == 1 && i >= perZone-2 && i > 0 }},
+			{"a leader", func(zone, i int) bool { return zone == 1 && i == 0 }},
+			{"a zone", func(zone, _ int) bool { return zone == 1 }},
+			{"a third", func(_, i int) bool { return i%3 == 2 }},
+		} {
+			t.Run(fmt.Sprintf("%d in a zone, %s", perZone, test.name), func(t *testing.T) {
+				is := is.New(t)
+				f := newEntryFleet(zones, perZone)
+				for range rounds {
+					f.round()
+				}
+				live := 0
+				for i, address := range f.order {
+					f.stopped[address] = test.lost(i/perZone, i%perZone)
+					if !f.stopped[address] {
+						live++
+					}
+				}
+				for range rounds {
+					f.round()
+				}
+				for address, r := range f.entries {
+					if !f.stopped[address] {
+						is.Equal(r.liveCount(f.now), live)
+					}
+				}
+			})
+		}
+	}
+}
+
 // Pattern: a zone of hundreds of entries, each of which calls the leader. The leader's
 // calls do not grow with the zone as long as entries count as live, and all loads are
 // still counted.
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -411,13 +411,13 @@
 	recovered = !p.live(now)
 	p.contactAt, p.draining, p.storeWorks, p.orderer, p.versions = now, s.Draining, s.StoreWorks, s.Orderer, s.Known
 	p.loads, p.demands, p.relayed, p.failed = s.Loads, s.Demands, s.Relayed, false
+	// The sender must be in contact with an entry that it reports, or be the leader from which
+	// this one hears of other zones: what comes back from those that were told would keep a
+	// lost entry live for ever.
+	relays := s.From.Zone == r.self.Zone && (s.Relayed || !r.large())
 	for _, e := range s.Entries {
 		q := r.add(e, now)
-		if q != nil && (e.Zone == s.From.Zone || s.From.Zone == r.self.Zone) {
-			// Only the entries of a zone are in contact with each other, so a report
-			// counts if the sender is in the reported entry's zone or in this entry's
-			// own. Otherwise two leaders would confirm to each other an entry that
-			// has failed.
+		if q != nil && (e.Zone == s.From.Zone || relays) {
 			q.reportedAt = now
 		}
 	}
