savorygate: a leader passes bursts of changes on together

What callers saw: as before, lists, loads and versions late by whole zones while servers fail or change their layers.

Cause: each change (an order given or done, a limit, a failure, a list with changes) began a round at once, in which a leader called every entry of its zone, also those with a call in progress: 58 calls for each change, up to 200 changes in a second, beside the 236 exchanges that the entries begin. A failure that a peer reported began such a round although the reports of peers are not passed on.

Ruled out: that the calls are needed to be in time. Each entry calls its leader every 250 ms anyway.

Change: a leader calls its zone at once for the first change, and for those that follow together, at the rate that bounds its exchanges. An entry that the leader has just called leaves out its own call. Calls to the leaders of other zones are as before.

Evidence: TestBurstOfChangesIsPassedOnTogether failed before for zones of 10, 59 and 172 entries.

Found on the way, open: a failure of a server that an entry reports reaches only the leader of its zone in a large fleet.

--- a/savoryentry/savorygate/leader_test.go
+++ b/savoryentry/savorygate/leader_test.go
@@ -103,6 +103,47 @@
 	is.True(large <= 2*small)
 }
 
+// Pattern: many changes in a short time, such as failures of many servers or orders to many
+// engines. Guards against a leader that calls all entries of its zone for each of them, and so
+// has no time to answer, and against a change that isn't passed on because another just was.
+func TestBurstOfChangesIsPassedOnTogether(t *testing.T) {
+	for _, perZone := range []int{10, 59, 172} {
+		t.Run(fmt.Sprint(perZone), func(t *testing.T) {
+			is := is.New(t)
+			const step, burst = 5 * time.Millisecond, 10 * time.Second
+			f := newEntryFleet(2, perZone)
+			r := f.entries[f.order[0]]
+			called := func(urgent bool) int {
+				n := 0
+				for _, p := range r.mates() {
+					p.contactAt = f.now
+				}
+				for _, address := range r.targets(f.now, urgent) {
+					if r.peers[address].entry.Zone == r.self.Zone {
+						n++
+					}
+				}
+				f.now = f.now.Add(step)
+				return n
+			}
+			begin := f.now
+			is.Equal(called(true), perZone-1) // the first change is passed on at once
+			n := 0
+			for f.now.Sub(begin) < burst {
+				n += called(true)
+			}
+			is.True(n <= maxLeaderCallsPerSecond*int(burst/time.Second))
+			n, changed := called(true), f.now
+			for f.now.Sub(changed) < maxLeaderInterval+syncInterval {
+				n += called(false)
+			}
+			is.Equal(n, perZone-1) // the last one is passed on soon, and once
+			f.now = f.now.Add(time.Second)
+			is.Equal(called(false), 0)
+		})
+	}
+}
+
 // BenchmarkLeaderExchange measures what one exchange with an entry of its zone costs a leader in
 // a fleet of 295 entries and 190 engines, without the connection.
 func BenchmarkLeaderExchange(b *testing.B) {
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -42,9 +42,9 @@
 	// would cross zones, where bytes are dear, and leaders save them.
 	maxMeshEntriesPerZone = 2
 	// maxLeaderCallsPerSecond bounds the exchanges of a zone leader with the entries
-	// of its zone, each of which takes it about a millisecond of processor time. The
-	// entries of a larger zone call it less often, but at least each
-	// maxLeaderInterval, so that they count as live.
+	// of its zone, those that they begin and those that it begins, since each takes
+	// it processor time. The entries of a larger zone call it less often, but at
+	// least each maxLeaderInterval, so that they count as live.
 	maxLeaderCallsPerSecond = 240
 	maxLeaderInterval       = peerTTL / 2
 	// entriesInterval is the least interval at which an unchanged set of live entries
@@ -70,6 +70,10 @@
 	// leaderDemandsAt.
 	leaderDemands   []savorynotice.Demand
 	leaderDemandsAt time.Time
+	// pushDue is set while a change waits to be pushed to the entries of the zone, and
+	// pushedAt is when the last ones were.
+	pushDue  bool
+	pushedAt time.Time
 	// sums are the sums of a leader, entries the live entries that are reported to peers.
 	sums    workSums
 	entries entryReport
@@ -281,8 +285,9 @@
 }
 
 // targets returns the peers to call in this round and removes those whose
-// peerRemovalDelay is over. In a large fleet an urgent round of a zone leader or of
-// a draining entry also calls all live entries of its zone.
+// peerRemovalDelay is over. In a large fleet a zone leader or a draining entry also calls
+// all live entries of its zone after an urgent round began: at once, or after pushInterval
+// if it has done so before, since many changes may come in a short time.
 func (r *relay) targets(now time.Time, urgent bool) []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -299,15 +304,38 @@
 		}
 	} else {
 		chosen = r.leaderTargets(now)
-		if urgent && (r.isLeader(now) || r.draining()) {
-			for _, p := range r.peers {
-				if p.entry.Zone == r.self.Zone && p.live(now) {
-					chosen = append(chosen, p)
-				}
-			}
+	}
+	addresses := append(r.dueTargets(chosen, now, urgent), r.pushTargets(now, urgent)...)
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	return slices.Compact(addresses)
+}
+
+// pushTargets returns the entries of the zone that a leader or a draining entry calls in
+// addition in a large fleet. Those with a call in progress hear in their next exchange.
+func (r *relay) pushTargets(now time.Time, urgent bool) []netip.AddrPort {
+	if !r.large() || !r.isLeader(now) && !r.draining() {
+		r.pushDue = false
+		return nil
+	}
+	r.pushDue = r.pushDue || urgent
+	if !r.pushDue || now.Sub(r.pushedAt) < r.pushInterval() {
+		return nil
+	}
+	r.pushDue, r.pushedAt = false, now
+	var addresses []netip.AddrPort
+	for _, p := range r.mates() {
+		if p.live(now) && !p.calling {
+			p.calledAt = now
+			addresses = append(addresses, p.entry.Address)
 		}
 	}
-	return r.dueTargets(chosen, now, urgent)
+	return addresses
+}
+
+// pushInterval returns the least time between two calls of a leader to all entries of its
+// zone.
+func (r *relay) pushInterval() time.Duration {
+	return time.Duration(len(r.mates())) * time.Second / maxLeaderCallsPerSecond
 }
 
 // leaderTargets returns the peers that this entry calls in a large fleet: the
@@ -373,12 +401,14 @@
 			continue
 		case !urgent && p.entry.Zone == r.self.Zone && now.Sub(p.calledAt) < r.leaderInterval():
 			continue
+		case !urgent && p.entry.Zone == r.self.Zone && r.large() && now.Sub(p.contactAt) < syncInterval/2:
+			// The leader has just called this entry.
+			continue
 		}
 		p.calledAt = now
 		addresses = append(addresses, p.entry.Address)
 	}
-	slices.SortFunc(addresses, netip.AddrPort.Compare)
-	return slices.Compact(addresses)
+	return addresses
 }
 
 // leaderInterval returns the least time between two calls to the leader of this
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -192,8 +192,8 @@
 	}
 	changed = g.recordNotices(g.view.mergeNotices(s.Notices, now), "peer") || changed
 	for _, f := range s.Faults {
+		// Failures are not passed on, so there is nothing to forward.
 		if g.view.recordPeerFailure(f.Server, now.Add(-f.Age)) {
-			changed = true
 			g.Log.WithFields(log.Fields{"server": f.Server, "peer": s.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided after a failure report from a peer")
 		}
 	}
