Tests: a leader leaves only the receiver's loads out of a sum

Random loads of the entries of a zone and of another zone's leader, against a sum without the receiver.

--- a/savoryentry/savorygate/loads_test.go
+++ b/savoryentry/savorygate/loads_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
@@ -154,6 +155,44 @@
 	}
 }
 
+// Guards against a leader that reports to an entry that entry's own requests, or leaves out
+// those of another, when it takes them out of a sum.
+func TestLeaderLeavesOutOnlyTheReceiver(t *testing.T) {
+	const zones, each = 2, 4
+	load := rapid.Custom(func(t *rapid.T) savorypath.Load {
+		return savorypath.Load{Server: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server"), Requests: rapid.IntRange(1, 9).Draw(t, "requests"), Memory: float64(rapid.IntRange(1, 1e6).Draw(t, "memory"))}
+	})
+	loads := rapid.SliceOfN(load, 0, 5)
+	f := newEntryFleet(zones, each)
+	leader := f.seeds[0]
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		f.start(leader)
+		r := f.entries[leader.Address]
+		reported := make(map[netip.AddrPort][]savorypath.Load)
+		for i, e := range f.seeds[1:] {
+			// Of the other zone only the leader reports, for all of its zone.
+			if e.Zone == leader.Zone || i == each-1 {
+				reported[e.Address] = loads.Draw(t, "loads")
+				r.recordState(&savorypeer.SyncState{From: e, Loads: reported[e.Address], Relayed: e.Zone != leader.Zone}, f.now)
+			}
+		}
+		own := loads.Draw(t, "own")
+		for _, to := range f.seeds[1:] {
+			want := make(loadSum)
+			want.add(own)
+			for address, l := range reported {
+				if address != to.Address && (to.Zone == leader.Zone || r.peers[address].entry.Zone == leader.Zone) {
+					want.add(l)
+				}
+			}
+			got, relayed := r.loadsFor(to, own, f.now)
+			is.True(relayed)
+			is.Equal(got, want.sorted())
+		}
+	})
+}
+
 // Pattern: a fleet of a few entries in each zone, where bytes between zones are dear. Only
 // zone leaders call each other across zones, each entry counts all others, and two
 // entries in each zone still exchange their state directly.
