--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -136,18 +136,9 @@
 			return fmt.Errorf("SyncState.Entries[%d].Address: is not an IP address with a port", i)
 		}
 	}
-	if err := n.Stamp.Check(); err != nil {
-		return fmt.Errorf("SyncState.%w", err)
-	}
-	if err := checkSlowdowns(n.Slowdowns); err != nil {
+	if err := n.checkAges(); err != nil {
 		return err
 	}
-	if n.Known.ListAge < 0 {
-		return fmt.Errorf("SyncState.Known.ListAge: %s is below 0", n.Known.ListAge)
-	}
-	if n.Known.ConfigAge < 0 {
-		return fmt.Errorf("SyncState.Known.ConfigAge: %s is below 0", n.Known.ConfigAge)
-	}
 	if n.Config != nil {
 		if err := n.Config.Check(); err != nil {
 			return fmt.Errorf("SyncState.Config: %w", err)
@@ -169,6 +160,23 @@
 	return nil
 }
 
+// checkAges checks the ages, and what tells how old the message is.
+func (n *SyncState) checkAges() error {
+	if err := n.Stamp.Check(); err != nil {
+		return fmt.Errorf("SyncState.%w", err)
+	}
+	if err := checkSlowdowns(n.Slowdowns); err != nil {
+		return err
+	}
+	if n.Known.ListAge < 0 {
+		return fmt.Errorf("SyncState.Known.ListAge: %s is below 0", n.Known.ListAge)
+	}
+	if n.Known.ConfigAge < 0 {
+		return fmt.Errorf("SyncState.Known.ConfigAge: %s is below 0", n.Known.ConfigAge)
+	}
+	return nil
+}
+
 // Delay adds d, the time since the state was made, to its ages.
 func (n *SyncState) Delay(d time.Duration) {
 	n.Known.ListAge += d
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -390,15 +390,7 @@
 	if c.route != nil {
 		logger = logger.WithField("route", c.route.Name)
 	}
-	if !c.sentAt.IsZero() {
-		logger = logger.WithField("waitMs", c.sentAt.Sub(c.startedAt).Milliseconds())
-	}
-	if !c.firstByteAt.IsZero() {
-		logger = logger.WithFields(log.Fields{
-			"firstMs": c.firstByteAt.Sub(c.startedAt).Milliseconds(), "firstSentMs": c.firstSentAt.Sub(c.startedAt).Milliseconds(),
-			"maxGapMs": c.maxGap.Milliseconds(), "gapCause": string(c.gapCause), "late": late,
-		})
-	}
+	logger = logger.WithFields(c.times(late))
 	if e != nil {
 		logger = logger.WithFields(log.Fields{"code": code, "cause": e.Error(), "parts": partIDs(c.prompt)})
 		if refused := (*refusedPartError)(nil); errors.As(e, &refused) {
@@ -408,6 +400,19 @@
 	logger.Info("request ended")
 }
 
+// times returns the fields of the log that tell where the time of the request went.
+func (c *call) times(late bool) log.Fields {
+	fields := log.Fields{}
+	if !c.sentAt.IsZero() {
+		fields["waitMs"] = c.sentAt.Sub(c.startedAt).Milliseconds()
+	}
+	if !c.firstByteAt.IsZero() {
+		fields["firstMs"], fields["firstSentMs"] = c.firstByteAt.Sub(c.startedAt).Milliseconds(), c.firstSentAt.Sub(c.startedAt).Milliseconds()
+		fields["maxGapMs"], fields["gapCause"], fields["late"] = c.maxGap.Milliseconds(), string(c.gapCause), late
+	}
+	return fields
+}
+
 // late reports whether the response missed a latency objective of its route.
 func (c *call) late() bool {
 	if c.route == nil || c.firstByteAt.IsZero() {
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -179,22 +179,13 @@
 	dated := g.date(s, requestedAt, now)
 	g.ObserveStoreEra(s.Known.StoreEra)
 	changed := s.Config != nil && g.setConfig(s.Config, "peer")
-	switch {
-	case !dated:
-	case s.Listing != nil:
-		changed = g.applyList(s.Listing, reading{id: s.Known.ListReading, at: now.Add(-s.Known.ListAge)}, "peer") || changed
-	case s.Known.ListRevision > 0:
-		g.view.confirmList(s.Known, now)
+	if dated {
+		changed = g.applyPeerList(s, now) || changed
 	}
 	g.view.setPeerLoads(g.relay.loads(now), now)
 	g.view.setPeerDemands(g.relay.demands(now))
 	changed = g.recordNotices(g.view.mergeNotices(s.Notices, now), "peer") || changed
-	for _, f := range s.Faults {
-		// Failures are not passed on, so there is nothing to forward.
-		if g.view.recordPeerFailure(f.Server, now.Add(-f.Age)) {
-			g.Log.WithFields(log.Fields{"server": f.Server, "peer": s.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided after a failure report from a peer")
-		}
-	}
+	g.applyFailures(s, now)
 	g.view.applySlowdowns(s.Slowdowns, now, g.config())
 	changed = g.mergeQuarantine(s.Quarantine) || changed
 	if changed {
@@ -210,6 +201,27 @@
 	}
 }
 
+// applyPeerList applies the list of servers in a dated state, or its confirmation. It reports
+// whether a server changed.
+func (g *Gate) applyPeerList(s *savorypeer.SyncState, now time.Time) bool {
+	if s.Listing != nil {
+		return g.applyList(s.Listing, reading{id: s.Known.ListReading, at: now.Add(-s.Known.ListAge)}, "peer")
+	}
+	if s.Known.ListRevision > 0 {
+		g.view.confirmList(s.Known, now)
+	}
+	return false
+}
+
+// applyFailures applies the failures of servers that a peer reports. They are not passed on.
+func (g *Gate) applyFailures(s *savorypeer.SyncState, now time.Time) {
+	for _, f := range s.Faults {
+		if g.view.recordPeerFailure(f.Server, now.Add(-f.Age)) {
+			g.Log.WithFields(log.Fields{"server": f.Server, "peer": s.From.Address.String(), "ageMs": f.Age.Milliseconds()}).Info("server avoided after a failure report from a peer")
+		}
+	}
+}
+
 // date adds the time since a received state was made to the ages in it. It reports whether
 // that time is known. If it is not, the ages of events are still enough to use them, but
 // those of readings of the store are not: they would pass for newer than they are.
