--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -362,7 +362,7 @@
 		return Choice{}, ErrNoChain
 	}
 	all, byZone, full := t.candidates(r, now)
-	best, cost := t.cheapestInOneZone(byZone, r)
+	best, cost := t.chooseZone(byZone, r)
 	if best.Chain == nil && r.AllowCrossZone && t.crossZoneLinkFree(r.Tokens, now) && (r.Continuing || t.admitCrossZone()) {
 		chain, c, fill := t.search(all, r, t.Zone)
 		if t.crossZoneLinkFree(r.Tokens*t.zoneCrossings(chain), now) {
@@ -414,31 +414,6 @@
 	return all, byZone, full
 }
 
-// cheapestInOneZone returns the cheapest chain inside one zone and its cost in
-// seconds.
-func (t *Table) cheapestInOneZone(byZone map[string][]candidate, r Request) (Choice, float64) {
-	best, cost, zones := Choice{}, math.Inf(1), 0
-	for zone, candidates := range byZone {
-		chain, c, fill := t.search(candidates, r, "")
-		if chain == nil {
-			continue
-		}
-		zones++
-		if zone != t.Zone {
-			c += crossZoneEntryCost.Seconds()
-		}
-		if c < cost {
-			best, cost = Choice{Chain: chain, Fill: fill}, c
-		}
-	}
-	best.Zones = zones
-	return best, cost
-}
-
-// crossZoneEntryCost is the cost of beginning a chain in a zone other than the
-// entry's zone. It outweighs small differences in load.
-const crossZoneEntryCost = 4 * time.Millisecond
-
 // candidate is an engine with its costs for one request.
 type candidate struct {
 	*Engine
