--- a/savorycore/savorychain/choose.go
+++ b/savorycore/savorychain/choose.go
@@ -173,6 +173,9 @@
 				continue
 			}
 			considered++
+			if t.onConsidered != nil {
+				t.onConsidered(s)
+			}
 			p := t.extend(byEnd[g.layers.From], s, req, now)
 			byEnd[g.layers.To] = append(byEnd[g.layers.To], p)
 		}
--- a/savorycore/savorychain/table.go
+++ b/savorycore/savorychain/table.go
@@ -63,6 +63,8 @@
 	groups          map[modelKey][]*group
 	prefixes        prefixIndex
 	admissionMargin admissionMargin
+	// onConsidered is called for each engine that a choice considers, if it is set.
+	onConsidered func(*serverState)
 }
 
 // modelKey identifies a version of a model.
--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -134,7 +134,10 @@
 		return limit / float64(n), bursts / float64(n)
 	}
 	share := 1 / float64(n)
-	d := b.demand(service)
+	d := b.demands[service]
+	if d == nil {
+		d = new(demand)
+	}
 	if own := d.rateAt(now); b.demandsKnown && own+d.others > 0 {
 		share = reserveFraction*share + (1-reserveFraction)*own/(own+d.others)
 	}
--- a/savorycore/savoryquarantine/quarantine_test.go
+++ b/savorycore/savoryquarantine/quarantine_test.go
@@ -249,3 +249,28 @@
 		Blames: []Blame{{Part: part("e4402b7d"), Age: 3 * time.Second, Ends: 3, Entry: "entry-1", Trials: 2, TrialAge: time.Second, Asked: 1}},
 	}}})
 }
+
+// Guards against a preview that takes the place of the next trial of a part, or that decides
+// otherwise than Admit.
+func TestPreviewChangesNothing(t *testing.T) {
+	is := is.New(t)
+	build := func() *Tracker {
+		tracker := &Tracker{Entry: "e"}
+		for i := range 5 {
+			tracker.RecordEnd(server(t, fmt.Sprint("e", i, "@", 80+i)), prompt(fmt.Sprint(i), "bad"), true, begin.Add(time.Duration(i)*time.Second))
+		}
+		tracker.Update(begin.Add(6 * time.Second))
+		return tracker
+	}
+	a, b := build(), build()
+	for _, mayTry := range []bool{false, true} {
+		for _, later := range []time.Duration{7 * time.Second, time.Hour} {
+			for _, parts := range []string{"bad", "good"} {
+				got := a.Preview(prompt("x", parts), mayTry, begin.Add(later))
+				is.Equal(a, b)
+				is.Equal(got, build().Admit(prompt("x", parts), 0, mayTry, begin.Add(later)))
+			}
+		}
+	}
+	is.Equal(a.Preview(prompt("x", "bad"), false, begin.Add(7*time.Second)).Decision, Refuse)
+}
