savorygate, savorynode, savoryadmin: where a request would go

Cause: operators could only learn from logs, afterwards, why a request was refused or sent somewhere. Change: POST /where at the metrics address of the platform's entry and at the operators' listener of the own path; one message type with a client call. Keys travel as digests. The functions that choose a server and that make the error responses are split from those that count, without a change of what they do.

--- a/savorycore/savoryconfig/snapshot.go
+++ b/savorycore/savoryconfig/snapshot.go
@@ -128,6 +128,11 @@
 	return s.customersByKey[hex.EncodeToString(sum[:])]
 }
 
+// CustomerByDigest returns the customer that has the API key with the SHA-256 digest, or nil.
+func (s *Snapshot) CustomerByDigest(digest string) *savoryworld.Customer {
+	return s.customersByKey[digest]
+}
+
 // Customer returns the customer with the name, or nil.
 func (s *Snapshot) Customer(name string) *savoryworld.Customer { return s.customers[name] }
 
--- a/savorycore/savoryrouting/table.go
+++ b/savorycore/savoryrouting/table.go
@@ -63,6 +63,19 @@
 // Customer returns the customer with the key, or nil.
 func (t *Table) Customer(key string) *Customer { return t.byKey[KeyDigest(key)] }
 
+// CustomerByDigest returns the customer with the key of the digest, or nil.
+func (t *Table) CustomerByDigest(digest string) *Customer { return t.byKey[digest] }
+
+// CustomerByName returns the customer with the name, or nil.
+func (t *Table) CustomerByName(name string) *Customer {
+	for i := range t.Config.Customers {
+		if t.Config.Customers[i].Name == name {
+			return &t.Config.Customers[i]
+		}
+	}
+	return nil
+}
+
 // KeyDigest returns the digest under which a key is stored.
 func KeyDigest(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -71,6 +71,12 @@
 	if err != nil && c.g.configDoubt(c.startedAt) == savorynews.Behind && c.awaitNewerTable() {
 		err = c.match()
 	}
+	return c.doubtful(err)
+}
+
+// doubtful returns the error of match, or the refusal instead if the configuration may be out of
+// date.
+func (c *call) doubtful(err *savoryverdict.Error) *savoryverdict.Error {
 	if err == nil {
 		return nil
 	}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"savorycart.example/savorycore/savoryadmin"
 	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorypath"
@@ -247,6 +248,7 @@
 	}
 	router := bunrouter.New()
 	router.GET("/notices", bunrouter.HTTPHandlerFunc(g.handleNotices))
+	router.POST(savoryadmin.WherePath, bunrouter.HTTPHandlerFunc(g.handleWhere))
 	router.GET("/quarantine", bunrouter.HTTPHandlerFunc(g.handleQuarantine))
 	router.POST("/quarantine/try", bunrouter.HTTPHandlerFunc(g.handleTrial))
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -156,15 +156,24 @@
 func (v *view) returnDelay(service string, now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.notices.ReturnDelay(service, v.firstServers(service, now), now)
+}
+
+// firstServers returns the IDs of the servers of a service that work and to which requests are
+// sent first. The caller holds the lock.
+func (v *view) firstServers(service string, now time.Time) []string {
 	var ids []string
 	for _, s := range v.roster.Available(service) {
 		if !v.health.Failing(s.ID, now) && s.Holds.From == 0 {
 			ids = append(ids, s.ID)
 		}
 	}
-	return v.notices.ReturnDelay(service, ids, now)
+	return ids
 }
 
+// returnDelays returns when a refused caller of a service may come back.
+type returnDelays func(service string, now time.Time) time.Duration
+
 // errNotTaken is returned if servers of a service are available and none takes a request in
 // time, by what the servers state about themselves.
 var errNotTaken = errors.New("the servers take no more requests now")
@@ -220,9 +229,9 @@
 }
 
 // notTaken returns the refusal of a request for which no server takes it in time.
-func (c *call) notTaken(err error) *savoryverdict.Error {
+func (c *call) notTaken(err error, returnDelay returnDelays) *savoryverdict.Error {
 	now := c.g.now()
-	e := savoryverdict.Unavailable("Limited", max(busyRetryDelay, c.g.view.returnDelay(c.service.Name, now)), "the servers of service %s take no more requests now", c.service.Name)
+	e := savoryverdict.Unavailable("Limited", max(busyRetryDelay, returnDelay(c.service.Name, now)), "the servers of service %s take no more requests now", c.service.Name)
 	e.Err = fmt.Errorf("%w (%s)", err, c.g.view.noticeSummary(c.service.Name, now))
 	return e
 }
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -184,21 +184,25 @@
 // set if a server refused the request; err is errNoServer or errNotTaken if no server was
 // left to try.
 func (c *call) failPlain(err error, refused bool) {
+	c.fail(c.plainError(err, refused, c.g.view.returnDelay))
+}
+
+// plainError returns the error response of failPlain.
+func (c *call) plainError(err error, refused bool, returnDelay returnDelays) *savoryverdict.Error {
 	switch {
 	case c.mayHaveRun && errors.Is(err, errDeadline):
-		c.fail(&savoryverdict.Error{
+		return &savoryverdict.Error{
 			Verdict: savoryverdict.MayHaveRun, Status: http.StatusGatewayTimeout, Code: "Deadline",
 			Message: "no response before the deadline", Err: err,
-		})
+		}
 	case c.mayHaveRun:
-		c.fail(savoryverdict.Wrap(err))
+		return savoryverdict.Wrap(err)
 	case errors.Is(err, errNotTaken):
-		c.fail(c.notTaken(err))
+		return c.notTaken(err, returnDelay)
 	case refused:
-		c.fail(savoryverdict.Unavailable("Busy", busyRetryDelay, "all servers of service %s are busy", c.service.Name))
-	default:
-		c.fail(savoryverdict.Unavailable("NoServer", unavailableRetryDelay, "no server of service %s is available", c.service.Name))
+		return savoryverdict.Unavailable("Busy", busyRetryDelay, "all servers of service %s are busy", c.service.Name)
 	}
+	return savoryverdict.Unavailable("NoServer", unavailableRetryDelay, "no server of service %s is available", c.service.Name)
 }
 
 // sendPlain sends the request to one server and reads the beginning of its
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -341,9 +341,13 @@
 		s.failHeld(err)
 		return
 	}
+	s.fail(s.noChainError(err, s.g.view.returnDelay))
+}
+
+// noChainError returns the response to a stream for which no chain is available.
+func (s *stream) noChainError(err error, returnDelay returnDelays) *savoryverdict.Error {
 	if !s.mayHaveRun && (errors.Is(err, savorypath.ErrNotTaken) || errors.Is(err, errNotTaken)) {
-		s.fail(s.notTaken(err))
-		return
+		return s.notTaken(err, returnDelay)
 	}
 	retryAfter := unavailableRetryDelay
 	if errors.Is(err, savorypath.ErrFull) {
@@ -354,7 +358,7 @@
 		e = savoryverdict.Wrap(err)
 	}
 	e.Err = fmt.Errorf("%w (%s)", err, s.g.view.missingLayers(s.service.Name, savorypath.Request{Tokens: s.tokens}, s.g.now()))
-	s.fail(e)
+	return e
 }
 
 // memoryRetryDelay estimates when memory for another request is free: by then
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -177,6 +177,20 @@
 func (v *view) chooseChain(service string, r savorypath.Request, maxDelay time.Duration, now time.Time) (savorypath.Choice, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	t := v.table(service)
+	choice, err := t.Choose(v.restrict(service, r, &v.notices, maxDelay, now), now)
+	if err == nil {
+		t.RecordStart(choice.Chain, r.Tokens, now)
+		if r.CurrentChain == nil {
+			v.notices.Reserve(choice.Chain[0].Server)
+		}
+	}
+	return choice, err
+}
+
+// restrict returns the request with what is known about the engines from their failures and,
+// by notices, from themselves.
+func (v *view) restrict(service string, r savorypath.Request, notices *savorynotice.Board, maxDelay time.Duration, now time.Time) savorypath.Request {
 	avoid := r.Avoid
 	r.Avoid = func(id string) bool {
 		if avoid != nil && avoid(id) {
@@ -186,23 +200,15 @@
 			// An engine that refuses new requests continues those that it runs.
 			return v.health.Failing(id, now)
 		}
-		return v.health.Avoided(id, now) || v.notices.Paused(id, now) > maxDelay
+		return v.health.Avoided(id, now) || notices.Paused(id, now) > maxDelay
 	}
 	if r.CurrentChain == nil {
 		r.FirstDelay = func(id string) (time.Duration, bool) {
-			delay, ok := v.notices.Delay(service, id, now)
+			delay, ok := notices.Delay(service, id, now)
 			return delay, ok && delay <= maxDelay
 		}
 	}
-	t := v.table(service)
-	choice, err := t.Choose(r, now)
-	if err == nil {
-		t.RecordStart(choice.Chain, r.Tokens, now)
-		if r.CurrentChain == nil {
-			v.notices.Reserve(choice.Chain[0].Server)
-		}
-	}
-	return choice, err
+	return r
 }
 
 // missingLayers describes for the log why there is no chain: the numbers of
@@ -259,13 +265,27 @@
 func (v *view) chooseServer(service string, tried map[string]bool, maxDelay time.Duration, now time.Time) (serverChoice, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	c, err := v.pickServer(service, tried, &v.notices, maxDelay, now)
+	if err != nil {
+		return c, err
+	}
+	if v.inFlight == nil {
+		v.inFlight = make(map[string]int)
+	}
+	v.inFlight[c.server.ID]++
+	v.notices.Reserve(c.server.ID)
+	return c, nil
+}
+
+// pickServer is chooseServer without counting the request. The caller holds the lock.
+func (v *view) pickServer(service string, tried map[string]bool, notices *savorynotice.Board, maxDelay time.Duration, now time.Time) (serverChoice, error) {
 	servers := slices.DeleteFunc(v.roster.Available(service), func(s savoryroster.Server) bool { return tried[s.ID] })
 	if len(servers) == 0 {
 		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNoServer)
 	}
 	delays := make(map[string]time.Duration)
 	servers = slices.DeleteFunc(servers, func(s savoryroster.Server) bool {
-		delay, ok := v.notices.Delay(service, s.ID, now)
+		delay, ok := notices.Delay(service, s.ID, now)
 		delays[s.ID] = delay
 		return !ok || delay > maxDelay
 	})
@@ -292,11 +312,6 @@
 	if len(servers) > 1 {
 		c.runnerUp = servers[1].ID
 	}
-	if v.inFlight == nil {
-		v.inFlight = make(map[string]int)
-	}
-	v.inFlight[c.server.ID]++
-	v.notices.Reserve(c.server.ID)
 	return c, nil
 }
 
--- a/savoryentry/savorynode/admin.go
+++ b/savoryentry/savorynode/admin.go
@@ -66,6 +66,7 @@
 	}))
 	router.GET("/readyz", a.serve(a.serveReady))
 	router.GET("/v1/status", a.serve(a.serveStatus))
+	router.POST(savoryadmin.WherePath, a.serve(a.serveWhere))
 	router.GET("/v1/config/document", a.serve(a.serveDocument))
 	router.POST("/v1/config/document", a.serve(a.serveBootstrap))
 	router.POST("/v1/config/sections/:section", a.serve(a.serveSubmit))
--- a/savoryentry/savorynode/callers.go
+++ b/savoryentry/savorynode/callers.go
@@ -78,8 +78,8 @@
 		bunrouter.WithNotFoundHandler(c.serve("service", c.services.serve)),
 		bunrouter.WithMethodNotAllowedHandler(c.serve("service", c.services.serve)),
 	)
-	router.POST("/v1/completions", c.serve("completion", c.pipelines.serveCompletion))
-	router.POST("/v1/chat/completions", c.serve("chat", c.pipelines.serveChat))
+	router.POST(completionsPath, c.serve("completion", c.pipelines.serveCompletion))
+	router.POST(chatPath, c.serve("chat", c.pipelines.serveChat))
 	router.GET("/v1/models", c.serve("models", c.pipelines.serveModels))
 	return router
 }
--- a/savoryentry/savorynode/completions.go
+++ b/savoryentry/savorynode/completions.go
@@ -18,6 +18,12 @@
 	"savorycart.example/savorycore/savoryworld"
 )
 
+// The paths of the completion calls.
+const (
+	completionsPath = "/v1/completions"
+	chatPath        = "/v1/chat/completions"
+)
+
 const (
 	// defaultMaxTokens is the maximum length of an answer if the request sets
 	// none.
--- a/savoryentry/savorynode/pipelineerror.go
+++ b/savoryentry/savorynode/pipelineerror.go
@@ -14,11 +14,16 @@
 // failureError converts the last error of a request to the error for the
 // caller. The verdict is NotRun only if no attempt may have run.
 func (p *pipelineRunner) failureError(g *generation, err error) error {
+	return pipelineError(err, g.mayHaveRun)
+}
+
+// pipelineError is failureError for a request that may have run in one of its attempts.
+func pipelineError(err error, mayHaveRun bool) error {
 	var refused *savoryverdict.Error
 	if errors.As(err, &refused) {
 		return refused
 	}
-	if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) && !g.mayHaveRun {
+	if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) && !mayHaveRun {
 		return limitedError(limited)
 	}
 	var overload *savorychain.OverloadError
@@ -29,7 +34,7 @@
 	var fault *savoryengine.Error
 	noChain := errors.Is(err, savorychain.ErrNoChain)
 	notRun := noChain || (errors.As(err, &fault) && fault.Verdict == savoryverdict.NotRun)
-	if notRun && !g.mayHaveRun {
+	if notRun && !mayHaveRun {
 		verdict = savoryverdict.NotRun
 	}
 	failure := &savoryverdict.Error{
--- a/savoryentry/savorynode/quarantine.go
+++ b/savoryentry/savorynode/quarantine.go
@@ -54,7 +54,7 @@
 			g.trial = a.Trial
 			return nil
 		case savoryquarantine.Refuse:
-			refusal := savoryverdict.Unavailable("PromptPart", a.RetryAfter, "engines end when they answer on the beginning of the prompt")
+			refusal := quarantinedError(a)
 			if g.mayHaveRun {
 				refusal.Verdict, refusal.Status, refusal.RetryAfter = savoryverdict.MayHaveRun, http.StatusBadGateway, 0
 			}
@@ -66,6 +66,11 @@
 	}
 }
 
+// quarantinedError returns the refusal of a completion that has not run.
+func quarantinedError(a savoryquarantine.Admission) *savoryverdict.Error {
+	return savoryverdict.Unavailable("PromptPart", a.RetryAfter, "engines end when they answer on the beginning of the prompt")
+}
+
 // returnTrial lets another completion try the beginning that this one was to try, since it
 // reached no engine.
 func (p *pipelineRunner) returnTrial(g *generation) {
@@ -79,16 +84,22 @@
 // admit decides on a completion that was held for a time. The live entry with the lowest
 // address tries quarantined beginnings again.
 func (s *gossiper) admit(prompt savoryquarantine.Prompt, held time.Duration, now time.Time) savoryquarantine.Admission {
+	first := s.isFirst(now)
+	var a savoryquarantine.Admission
+	s.tables.quarantine.with(func(t *savoryquarantine.Tracker) { a = t.Admit(prompt, held, first, now) })
+	s.announceQuarantine(a.Trial, true)
+	return a
+}
+
+// isFirst reports whether this entry has the lowest address of the live ones.
+func (s *gossiper) isFirst(now time.Time) bool {
 	first := true
 	s.tables.members.with(func(m *memberState) {
 		for _, peer := range m.table.Live(now) {
 			first = first && s.self.Address.Compare(peer.Address) < 0
 		}
 	})
-	var a savoryquarantine.Admission
-	s.tables.quarantine.with(func(t *savoryquarantine.Tracker) { a = t.Admit(prompt, held, first, now) })
-	s.announceQuarantine(a.Trial, true)
-	return a
+	return first
 }
 
 // recordEngineEnd records that an engine ended under a completion.
--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -21,6 +21,7 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryclaim"
+	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -82,19 +83,12 @@
 
 // serve checks one request against its route and contract and forwards it.
 func (s *serviceRunner) serve(w http.ResponseWriter, r *http.Request, cl *call) error {
-	route := cl.snapshot.Route(r.URL.Path)
-	if route == nil {
-		return notFound("Path", "no route serves %s", r.URL.Path)
-	}
-	if len(route.Methods) > 0 && !slices.Contains(route.Methods, r.Method) {
+	route, err := matchRoute(cl.snapshot, cl.customer, r.Method, r.URL.Path)
+	if err != nil && savoryverdict.Wrap(err).Status == http.StatusMethodNotAllowed {
 		w.Header().Set("Allow", strings.Join(route.Methods, ", "))
-		return &savoryverdict.Error{
-			Verdict: savoryverdict.NotRun, Status: http.StatusMethodNotAllowed, Code: "MethodNotAllowed",
-			Field: "Method", Message: fmt.Sprintf("route %s does not serve %s", route.Name, r.Method),
-		}
 	}
-	if !slices.Contains(cl.customer.Routes, route.Name) {
-		return notAllowed("Path", "the customer may not use route %s", route.Name)
+	if err != nil {
+		return err
 	}
 	key, err := idempotencyKey(r, route)
 	if err != nil {
@@ -122,6 +116,25 @@
 	return s.serveWithKey(ctx, w, sc, key)
 }
 
+// matchRoute returns the route of a customer's request. The route is set with the error for a
+// method that it does not serve or a customer that may not use it.
+func matchRoute(snapshot *savoryconfig.Snapshot, customer *savoryworld.Customer, method, path string) (*savoryworld.Route, error) {
+	route := snapshot.Route(path)
+	if route == nil {
+		return nil, notFound("Path", "no route serves %s", path)
+	}
+	if len(route.Methods) > 0 && !slices.Contains(route.Methods, method) {
+		return route, &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusMethodNotAllowed, Code: "MethodNotAllowed",
+			Field: "Method", Message: fmt.Sprintf("route %s does not serve %s", route.Name, method),
+		}
+	}
+	if !slices.Contains(customer.Routes, route.Name) {
+		return route, notAllowed("Path", "the customer may not use route %s", route.Name)
+	}
+	return route, nil
+}
+
 // servePlain forwards a request without an idempotency key, or with an
 // idempotent route, for which the key is not needed.
 func (s *serviceRunner) servePlain(ctx context.Context, w http.ResponseWriter, sc *serviceCall) error {
@@ -238,12 +251,7 @@
 		}
 	})
 	if err != nil {
-		if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) {
-			return nil, limitedError(limited)
-		}
-		failure := savoryverdict.Unavailable("NoServer", noServerRetryAfter, "no server of service %s is available", sc.route.Service)
-		failure.Err = err
-		return nil, failure
+		return nil, noServerError(sc.route.Service, err)
 	}
 	runnerUp := ""
 	if choice.RunnerUp != nil {
@@ -255,6 +263,16 @@
 	return choice.Server, nil
 }
 
+// noServerError returns the refusal of a request after an error of ChooseService.
+func noServerError(service string, err error) error {
+	if limited := (*savorychain.LimitedError)(nil); errors.As(err, &limited) {
+		return limitedError(limited)
+	}
+	failure := savoryverdict.Unavailable("NoServer", noServerRetryAfter, "no server of service %s is available", service)
+	failure.Err = err
+	return failure
+}
+
 // sendTo sends the request to one server. Only the first attempt of an
 // idempotent request uses a reused connection, because such a connection may
 // have failed unnoticed. An attempt of an idempotent request that has not
