savoryctl: where

Cause: why a request is refused, or goes where it goes, could be seen only afterwards and from the logs of all entries. Change: the command asks one entry and prints route, service, candidates with the reasons that exclude them, the verdict on the prompt's parts, the destination or the response, and the retry budget; exit status 3 for a refusal, 5 for no such route, 6 for an entry that is not reached.

--- a/savorycore/savorychain/preview.go
+++ b/savorycore/savorychain/preview.go
@@ -39,6 +39,8 @@
 	Limited Exclusion = "limited or paused by its own word"
 	// NotSampled: the random sample of this choice does not include it.
 	NotSampled Exclusion = "not in the random sample"
+	// NotReached: no engine that can be used holds the layers before.
+	NotReached Exclusion = "no usable engine for the layers before"
 )
 
 // Preview returns what Choose would return, and the engines of the model that this entry uses,
@@ -53,8 +55,8 @@
 	}
 	p := *t
 	p.Notices = *t.Notices.Copy(key.demandKey(), ids)
-	considered := make(map[*serverState]bool)
-	p.onConsidered = func(s *serverState) { considered[s] = true }
+	considered, reached := make(map[*serverState]bool), make(map[savoryworld.LayerRange]bool)
+	p.onConsidered = func(s *serverState) { considered[s], reached[s.server.Layers] = true, true }
 	choice, err := p.Choose(req, now)
 	var candidates []Candidate
 	for _, g := range p.groups[key] {
@@ -65,8 +67,12 @@
 				PromptTime: s.promptTime(work, p.tokensToRun(s, req), req.Pipeline.Layers), TokenTime: s.tokenTime(work, req.Pipeline.Layers),
 			}
 			c.Excluded = p.exclusion(s, req.Avoid, key.demandKey(), g.layers.From == 0, now)
-			if c.Excluded == "" && !considered[s] {
+			switch {
+			case c.Excluded != "" || considered[s]:
+			case reached[g.layers]:
 				c.Excluded = NotSampled
+			default:
+				c.Excluded = NotReached
 			}
 			candidates = append(candidates, c)
 		}
--- a/savorycore/savorychain/preview_test.go
+++ b/savorycore/savorychain/preview_test.go
@@ -1,6 +1,7 @@
 package savorychain
 
 import (
+	"errors"
 	"math/rand/v2"
 	"reflect"
 	"testing"
@@ -65,4 +66,11 @@
 	is.Equal(reasons["0-5/2"], Leaving)
 	is.Equal(reasons["d1"], Limited)
 	is.Equal(reasons["d2"], Limited)
+
+	for _, name := range []string{"0-5/0", "0-5/1", "0-5/3", "0-5/4", "0-5/5", "0-5/6", "0-5/7", "0-5/8"} {
+		b.SetLeaving(name, true)
+	}
+	_, candidates, err = b.Preview(request(b), now)
+	is.True(errors.Is(err, ErrNoChain))
+	is.Equal(candidates[len(candidates)-1].Excluded, NotReached)
 }
--- a/savoryctl/main.go
+++ b/savoryctl/main.go
@@ -2,7 +2,8 @@
 // document and their logs.
 //
 // It exits with 0 on success, 1 on failure, 2 on wrong usage, 3 if a change was
-// refused and not made, and 4 if the outcome of a change is unknown.
+// refused and not made or a request would be refused, 4 if the outcome of a change is unknown, 5
+// if a request has no route, and 6 if the command where has not reached its entry.
 package main
 
 import (
@@ -19,11 +20,13 @@
 
 // Exit codes.
 const (
-	exitOK      = 0
-	exitFailed  = 1
-	exitUsage   = 2
-	exitRefused = 3
-	exitUnknown = 4
+	exitOK         = 0
+	exitFailed     = 1
+	exitUsage      = 2
+	exitRefused    = 3
+	exitUnknown    = 4
+	exitNoRoute    = 5
+	exitNotReached = 6
 )
 
 // errUsage reports wrong arguments; the usage was already printed.
@@ -55,6 +58,7 @@
 		{"servers", "", "show the state of the backend servers at an entry", runServers},
 		{"pipelines", "", "show the pipelines and their layer cover", runPipelines},
 		{"leave", "SERVER", "stop new work for a backend server, or allow it again", runLeave},
+		{"where", "", "show where a request would go now, without sending it", runWhere},
 		{"explain", "ID", "show the history of a request and the cause of its end from logs", runExplain},
 		{"report", "FILE...", "write a page with the outcomes of requests and state changes over time", runReport},
 		{"drain", "", "begin the planned shutdown of an entry", runDrain},
@@ -89,11 +93,15 @@
 // exitCode prints the error of a command, if any, and returns the exit code for it.
 func (s *session) exitCode(c command, err error) int {
 	var refused *savoryverdict.Error
+	var status *statusError
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.Is(err, errUsage), errors.Is(err, flag.ErrHelp):
 		return exitUsage
+	case errors.As(err, &status):
+		fmt.Fprintf(s.errOut, "savoryctl %s: %v\n", c.name, status)
+		return status.code
 	case errors.As(err, &refused) && refused.Verdict == savoryverdict.NotRun:
 		fmt.Fprintf(s.errOut, "savoryctl %s: refused: %v\n", c.name, refused)
 		return exitRefused
--- a/savoryentry/savorynode/where.go
+++ b/savoryentry/savorynode/where.go
@@ -75,7 +75,6 @@
 		}
 	}
 	p.result.Customer = p.customer.Name
-	p.a.tables.limits.with(func(l *limitState) { p.result.Retries = &savoryadmin.WhereRetries{Left: l.budget.Left(p.now)} })
 	if p.q.Method == http.MethodPost && (p.q.Path == completionsPath || p.q.Path == chatPath) {
 		return p.runCompletion()
 	}
@@ -95,6 +94,12 @@
 	return savoryworld.Duration(max(0, p.now.Sub(at)))
 }
 
+func (p *wherePreview) setRetries(attempts int, repeatable bool) {
+	p.a.tables.limits.with(func(l *limitState) {
+		p.result.Retries = &savoryadmin.WhereRetries{Left: l.budget.Left(p.now), Attempts: attempts, Repeatable: repeatable}
+	})
+}
+
 // admit returns the fraction of the bound on the first token up to which the request is admitted
 // under its contract, and the number of answer tokens that it reserves.
 func (p *wherePreview) admit(promptTokens, maxTokens int) (fraction float64, reserved int, err error) {
@@ -132,7 +137,7 @@
 	if err := p.setPrefix(c); err != nil {
 		return err
 	}
-	p.result.Retries.Attempts, p.result.Retries.Repeatable = maxAttempts, true
+	p.setRetries(maxAttempts, true)
 	fraction, reserved, refusal := p.admit(c.promptTokens, c.maxTokens)
 	p.result.Tokens = c.promptTokens + reserved
 	if err := p.admitPrompt(c); refusal == nil {
@@ -201,7 +206,7 @@
 		return refusal
 	}
 	p.result.Route, p.result.Kind, p.result.Service = route.Name, "Service", route.Service
-	p.result.Retries.Attempts, p.result.Retries.Repeatable = maxServiceAttempts, route.Idempotent
+	p.setRetries(maxServiceAttempts, route.Idempotent)
 	if refusal == nil {
 		_, _, refusal = p.admit(0, 0)
 	}
