savoryadmin: bound the time to receive a request for where

Cause: the listener for metrics has no bound on the time of a body, so a client that sends a part of one would hold a connection. Change: a read deadline of 5 s for the body of this call. Result: tests of savoryadmin, savoryctl and of where at a running gate and site pass.

--- a/savorycore/savoryadmin/where.go
+++ b/savorycore/savoryadmin/where.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryquarantine"
@@ -24,6 +25,9 @@
 	WherePath = "/where"
 	// maxWhereBytes bounds a WhereRequest.
 	maxWhereBytes = 64 << 10
+	// whereReadTimeout bounds the time to receive a WhereRequest. Its sender is a command
+	// that sends it at once.
+	whereReadTimeout = 5 * time.Second
 )
 
 // WhereRequest describes a request that is not sent.
@@ -173,10 +177,17 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// ReadWhere decodes the body of the call. The error is a *savoryverdict.Error.
-func ReadWhere(body io.Reader) (WhereRequest, error) {
+// ReadWhere reads and checks the body of the call. The error is a *savoryverdict.Error.
+func ReadWhere(w http.ResponseWriter, r *http.Request) (WhereRequest, error) {
 	var q WhereRequest
-	dec := json.NewDecoder(io.LimitReader(body, maxWhereBytes))
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(whereReadTimeout)); err != nil {
+		return q, savoryverdict.Invalid("Body", "cannot be read in a bounded time")
+	}
+	// The deadline applies to this body only, not to the next request on the connection. If it
+	// cannot be cleared, the connection has failed.
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxWhereBytes))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&q); err != nil {
 		// The text of the decoder's error may hold a part of the body.
--- a/savoryentry/savorygate/where.go
+++ b/savoryentry/savorygate/where.go
@@ -24,7 +24,7 @@
 // handleWhere writes where the request that the body describes would go.
 func (g *Gate) handleWhere(w http.ResponseWriter, r *http.Request) {
 	status, result := http.StatusOK, any(nil)
-	if q, err := savoryadmin.ReadWhere(r.Body); err != nil {
+	if q, err := savoryadmin.ReadWhere(w, r); err != nil {
 		e := savoryverdict.Wrap(err)
 		status, result = e.Status, savoryadmin.ErrorBody{Error: savoryadmin.ErrorDetail{
 			Message: e.Message, Type: "invalid_request_error", Param: e.Field, Code: e.Code, Verdict: e.Verdict,
--- a/savoryentry/savorynode/where.go
+++ b/savoryentry/savorynode/where.go
@@ -32,7 +32,7 @@
 
 // serveWhere writes where the request that the body describes would go.
 func (a *admin) serveWhere(w http.ResponseWriter, r bunrouter.Request) error {
-	q, err := savoryadmin.ReadWhere(r.Body)
+	q, err := savoryadmin.ReadWhere(w, r.Request)
 	if err != nil {
 		return err
 	}
