savoryadmission, savorygate: urgent streams find memory when it is short

Change: a new stream leaves a headroom for each rank that it is less urgent, and waits for memory up to half of its objective. Only for services whose routes have different priorities.

--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -322,6 +322,8 @@
 	CurrentChain Chain
 	// Continuing states that the request had begun on another chain.
 	Continuing bool
+	// Headroom is the fraction of each engine's memory that a new request must leave free.
+	Headroom float64
 	// AllowCrossZone allows a chain over several zones if no zone has a chain of
 	// its own.
 	AllowCrossZone bool
@@ -454,7 +456,7 @@
 		perLayer *= 1 + min(maxJitterFraction, jitterFractionPerEntry*float64(t.Entries))*t.Rand.Float64()
 	}
 	wait := hopDelay.Seconds() + queueWaitFraction*perLayer*float64(e.Holds.Count())
-	maxFill := maxFillRatio
+	maxFill := maxFillRatio - r.Headroom
 	switch {
 	case r.CurrentChain != nil:
 		maxFill = maxMovedFillRatio
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -34,6 +34,7 @@
 	serverEnds       prometheus.Counter
 	notices          *prometheus.CounterVec
 	noticeWait       prometheus.Histogram
+	memoryWaits      *prometheus.CounterVec
 	promptParts      *prometheus.GaugeVec
 	logDropped       prometheus.CounterFunc
 }
@@ -78,6 +79,7 @@
 		noticeWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsPrefix, Name: "notice_wait_seconds", Help: "Wait of requests for the limit or pause of a server.", Buckets: buckets,
 		}),
+		memoryWaits: newCounterVec("memory_waits_total", "Streams that waited for memory of engines, by outcome.", "outcome"),
 		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
 		}, []string{"state"}),
@@ -86,7 +88,7 @@
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.syncDuration, m.timerDelay, m.orders,
-		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.memoryWaits, m.promptParts, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -190,12 +190,14 @@
 		if err == nil {
 			s.logDecision(log.Fields{
 				"path": choice.Chain.String(), "passMs": choice.PassTime.Milliseconds(), "fill": int(100 * choice.Fill), "zones": choice.Zones,
-				"tokens": s.tokens, "sends": s.sends,
+				"tokens": s.tokens, "sends": s.sends, "headroom": int(100 * r.Headroom),
 			}, "chain chosen")
+			s.recordMemoryWait(polls, "found")
 			return choice, nil
 		}
 		s.returnTrial()
-		if !s.mayHaveRun || !s.waitWithCaller(chainPollInterval) {
+		if !s.mayHaveRun && !s.mayWaitForMemory(err, now) || !s.waitWithCaller(chainPollInterval) {
+			s.recordMemoryWait(polls, "refused")
 			return choice, err
 		}
 		if s.headerWritten && polls%returnPolls == returnPolls-1 {
@@ -225,7 +227,7 @@
 	defer s.mu.Unlock()
 	avoid := maps.Clone(s.avoided)
 	return savorypath.Request{
-		Tokens: s.tokens, Continuing: s.eventCount > 0, AllowCrossZone: true, Avoid: func(id string) bool { return avoid[id] },
+		Tokens: s.tokens, Continuing: s.eventCount > 0, AllowCrossZone: true, Avoid: func(id string) bool { return avoid[id] }, Headroom: s.headroom(),
 	}
 }
 
