savorygate: steer requests by the pace of servers that start or recover

Sends, first events, answers, rejections and failures change the allowances. Entries report them as loads of servers that do not exist, as for the link between zones, so messages keep their form.

--- a/savorycore/savorynotice/share.go
+++ b/savorycore/savorynotice/share.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// DemandShare returns the fraction of all requests for a service that this entry's callers make,
+// or 0 if it is unknown.
+func (b *Board) DemandShare(service string, now time.Time) float64 {
+	d := b.demands[service]
+	if d == nil || !b.demandsKnown {
+		return 0
+	}
+	own := d.rateAt(now)
+	if own == 0 {
+		return 0
+	}
+	return own / (own + d.others)
+}
+
 // SetEntries sets the names of the live entries. This entry always counts.
 func (b *Board) SetEntries(names []string) {
 	b.entries = append([]string{b.Entry}, names...)
--- a/savorycore/savorypace/fleet_test.go
+++ b/savorycore/savorypace/fleet_test.go
@@ -166,7 +166,7 @@
 		for _, r := range reports[i] {
 			others = append(others, Report{r.Server, -r.Requests, -r.Unproven, -r.Allowance})
 		}
-		t.SetDemandShare("app", f.rate(i)/demand)
+		t.SetDemandShares(func(string) float64 { return f.rate(i) / demand })
 		t.SetPeerReports(others, f.now)
 	}
 }
--- a/savorycore/savorypace/share.go
+++ b/savorycore/savorypace/share.go
@@ -56,11 +56,13 @@
 	return peers.Requests == 0 && s.skipped >= rank/float64(begin)
 }
 
-// SetDemandShare sets the fraction of all requests for a service that the callers of this entry
-// make; 0 if it is unknown.
-func (t *Table) SetDemandShare(service string, share float64) {
-	if svc := t.services[service]; svc != nil {
-		svc.demandShare = share
+// SetDemandShares sets the fraction of all requests for a service that the callers of this entry
+// make, for each service with servers that are or were unproven. It is 0 if it is unknown.
+func (t *Table) SetDemandShares(share func(service string) float64) {
+	for name, svc := range t.services {
+		if len(svc.active) > 0 {
+			svc.demandShare = share(name)
+		}
 	}
 }
 
--- a/savorycore/savorypace/table.go
+++ b/savorycore/savorypace/table.go
@@ -295,6 +295,14 @@
 	}
 }
 
+// Passed reports whether an unproven server of a service is beyond its allowance and not used.
+func (t *Table) Passed(service string, now time.Time, used func(id string) bool) bool {
+	svc := t.services[service]
+	return svc != nil && svc.bounded() && slices.ContainsFunc(svc.active, func(s *server) bool {
+		return !s.proven && s.inFlight >= t.allowed(s, now) && !used(s.ID)
+	})
+}
+
 // Counts returns the number of servers by state: proven, raised, and start for the unproven
 // ones that are raised and not raised.
 func (t *Table) Counts() (proven, raised, start int) {
--- a/savorycore/savorypath/table.go
+++ b/savorycore/savorypath/table.go
@@ -315,6 +315,9 @@
 	// FirstDelay returns the time until a server takes a request as the first hop, and
 	// false if it takes none. It may be nil.
 	FirstDelay func(server string) (time.Duration, bool)
+	// BeyondPace reports whether a server should take no further request as long as there is
+	// another chain. It may be nil.
+	BeyondPace func(server string) bool
 	// CurrentChain is the chain of a running request that is moved; nil for other
 	// requests. Engines that keep their layers keep the memory of the request,
 	// other engines read all tokens so far. Engines of the chain that are no longer
@@ -372,6 +375,7 @@
 	if best.Chain == nil {
 		return Choice{}, reason(all, full)
 	}
+	cost -= t.chainPaceCost(r, best.Chain)
 	if t.smoothedPass == 0 {
 		t.smoothedPass = cost
 	}
@@ -487,7 +491,7 @@
 		maxFill = maxContinuingFillRatio
 	}
 	// An engine that keeps its layers already has the memory.
-	c := candidate{Engine: e, perLayer: perLayer, hopWait: wait, fill: fill, full: fill > maxFill && current.Empty(), currentLayers: current}
+	c := candidate{Engine: e, perLayer: perLayer, hopWait: wait + t.paceCost(r, e.ID), fill: fill, full: fill > maxFill && current.Empty(), currentLayers: current}
 	if r.CurrentChain != nil {
 		layers := float64(t.engine.Layers)
 		c.prefillPerLayer = t.prefillTime(e, r.Tokens, perLayer*layers) / layers
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -178,6 +178,7 @@
 	g.view.zone = s.Zone
 	g.view.notices.Entry = s.Peers.String()
 	g.view.chainTables = nil
+	g.view.setPace(s.Pace, nil)
 	g.quarantine.tracker.Entry = s.Name
 	g.relay = relay{
 		self:  savorypeer.Entry{Address: s.Peers, Zone: s.Zone, Strength: s.Strength},
@@ -321,6 +322,7 @@
 		g.view.expireSlowdowns(now, g.config())
 		g.view.expireNotices(now)
 		g.setBudgets()
+		g.updatePace()
 		_, age := g.configReading(now)
 		g.metrics.configAge.Set(age.Seconds())
 		for state, n := range g.view.countsByState(now) {
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -35,6 +35,8 @@
 	notices          *prometheus.CounterVec
 	noticeWait       prometheus.Histogram
 	promptParts      *prometheus.GaugeVec
+	pacedServers     *prometheus.GaugeVec
+	steeredRequests  *prometheus.CounterVec
 	logDropped       prometheus.CounterFunc
 }
 
@@ -81,12 +83,16 @@
 		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
 		}, []string{"state"}),
+		pacedServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: metricsPrefix, Name: "paced_servers", Help: "Backend servers by the state of their pace at this entry.",
+		}, []string{"state"}),
+		steeredRequests: newCounterVec("paced_requests_total", "Requests that went elsewhere because a server was beyond its allowance, by kind of server.", "kind"),
 		logDropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.syncDuration, m.timerDelay, m.orders,
-		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.pacedServers, m.steeredRequests, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -95,6 +95,7 @@
 		v.roster.MarkLeaving(server)
 		v.listChanged = true
 		v.rebuild(cfg)
+		v.updatePace(cfg)
 		left = true
 	}
 	return changes, left
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -264,6 +264,7 @@
 		return res
 	}
 	c.g.view.recordSuccess(id)
+	c.recordPace(id, response.StatusCode, sentAt)
 	return res
 }
 
@@ -378,6 +379,7 @@
 // recordRefusal records that a server refused the request without running it.
 func (c *call) recordRefusal(id string, status int, info ResponseInfo) {
 	c.log.WithFields(log.Fields{"server": id, "status": status, "fault": info.Fault.String()}).Info("server refused the request")
+	c.g.view.recordPaceRejection(id)
 	if status == http.StatusMisdirectedRequest && info.Instance != "" && info.Instance != id {
 		// The address now belongs to another server, so the intended server
 		// no longer exists.
--- a/savoryentry/savorygate/settings.go
+++ b/savoryentry/savorygate/settings.go
@@ -49,6 +49,8 @@
 	MinLeaseTTL time.Duration
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string
+	// Pace bounds the requests at servers that start or recover by the pace of their answers.
+	Pace bool
 	// Metrics is the port that serves the metrics; 0 for none.
 	Metrics uint16
 }
--- a/savoryentry/savorygate/stall.go
+++ b/savoryentry/savorygate/stall.go
@@ -412,6 +412,7 @@
 // the cause of a refusal, and asks the engine for its report.
 func (g *Gate) checkRefusal(logger log.Interface, service *savoryrouting.Service, server string, chain savorypath.Chain) {
 	first := g.view.recordRefusal(server, g.now())
+	g.view.recordPaceRejection(server)
 	i := slices.IndexFunc(chain, func(h savorypath.Hop) bool { return h.Server == server })
 	if !first || i < 0 {
 		return // another refusal has started a check, or the address is unknown
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -397,9 +397,11 @@
 	complete bool
 	// attemptEvents is the number of events of this attempt.
 	attemptEvents int
-	err           error
-	verdict       savoryverdict.Verdict
-	watch         *stallWatch
+	// sentAt is when the request was sent.
+	sentAt  time.Time
+	err     error
+	verdict savoryverdict.Verdict
+	watch   *stallWatch
 }
 
 // mayPassRefusal reports whether there is an error response of the server that may be passed
@@ -437,6 +439,7 @@
 	a.events.nextServer()
 	a.g.recordSend(a.service.Name, a.countSend())
 	sentAt := a.g.now()
+	a.sentAt = sentAt
 	a.recordSent(sentAt)
 	a.recordGapCause(gapResent)
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
@@ -518,6 +521,9 @@
 		a.lastEventAt = now
 		a.recordEvents(n)
 		a.watch.recordEvent(now)
+		if a.attemptEvents == n {
+			a.recordPace(a.eventCount > n, now)
+		}
 		if a.eventCount == n {
 			for _, h := range a.watch.currentChain() {
 				a.g.view.recordSuccess(h.Server)
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -39,6 +39,7 @@
 	sharedFailures map[string]time.Time
 	// notices are what the servers state about themselves.
 	notices savorynotice.Board
+	pace    pacing
 	// slowdowns are the engines that are or were lately slower than usual.
 	slowdowns map[string]slowdown
 	// peerList is the copy of the list for peers and fingerprint its fingerprint.
@@ -113,6 +114,7 @@
 	}
 	if len(changes) > 0 {
 		v.rebuild(cfg)
+		v.updatePace(cfg)
 	}
 	return changes
 }
@@ -126,12 +128,14 @@
 	v.roster.ReadFailed()
 	v.listChanged = true
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 func (v *view) setConfig(cfg *savoryrouting.Config) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 // rebuild updates the chain tables with the available engines. It does nothing
@@ -194,9 +198,11 @@
 			return delay, ok && delay <= maxDelay
 		}
 	}
+	v.limitByPace(service, &r, now)
 	t := v.table(service)
 	choice, err := t.Choose(r, now)
 	if err == nil {
+		v.startPaced(service, choice.Chain, &r, now)
 		t.RecordStart(choice.Chain, r.Tokens, now)
 		if r.CurrentChain == nil {
 			v.notices.Reserve(choice.Chain[0].Server)
@@ -227,6 +233,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.table(service).RecordEnd(chain, tokens, time.Now())
+	v.endPacedChain(chain)
 }
 
 // dropChain undoes chooseChain for a request that was not sent.
@@ -288,6 +295,7 @@
 		return r
 	}
 	slices.SortStableFunc(servers, func(a, b savoryroster.Server) int { return cmp.Compare(loadRank(a), loadRank(b)) })
+	v.steerByPace(service, servers, loadRank, now)
 	c := serverChoice{server: servers[0], inFlight: v.inFlight[servers[0].ID], slots: servers[0].Slots, triedCount: len(tried), delay: delays[servers[0].ID]}
 	if len(servers) > 1 {
 		c.runnerUp = servers[1].ID
@@ -321,6 +329,7 @@
 func (v *view) endServerRequest(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.endPaced(id)
 	v.inFlight[id]--
 	if v.inFlight[id] <= 0 {
 		delete(v.inFlight, id)
@@ -336,6 +345,7 @@
 	if shareWithPeers {
 		return v.recordSharedFailure(id, now)
 	}
+	v.recordPaceFailure(id)
 	return v.health.RecordFailure(id, now)
 }
 
@@ -344,6 +354,7 @@
 		v.sharedFailures = make(map[string]time.Time)
 	}
 	v.sharedFailures[id] = now
+	v.recordPaceFailure(id)
 	v.health.RecordReportedFailure(id, now)
 	return v.health.RecordFailure(id, now)
 }
@@ -387,6 +398,7 @@
 		return false
 	}
 	v.health.RecordReportedFailure(id, at)
+	v.recordPaceFailure(id)
 	return true
 }
 
@@ -395,6 +407,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.roster.ReportReceived(id, r.StartedAt, r.OrderCount, r.Holds, r.Busy)
+	v.updatePaceOf(id)
 	v.listChanged = true
 	v.rebuild(cfg)
 }
@@ -411,6 +424,7 @@
 	v.roster.MarkLeaving(id)
 	v.listChanged = true
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 // serverAt returns the ID of the server at an address of the chain, empty if there
@@ -448,13 +462,14 @@
 	for _, t := range v.chainTables {
 		loads = append(loads, t.OwnLoads(now)...)
 	}
-	return loads
+	return append(loads, v.paceReports(len(loads), now)...)
 }
 
 // setPeerLoads replaces the loads of the peers.
 func (v *view) setPeerLoads(byPeer map[string][]savorypath.Load, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.setPaceReports(byPeer, now)
 	for _, t := range v.chainTables {
 		// The servers of other services are never looked up in this table.
 		t.SetPeers(byPeer, now)
@@ -530,6 +545,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.notices.SetEntries(others)
+	v.setPaceEntries(others)
 	for _, t := range v.chainTables {
 		t.Entries = n
 	}
