savorypace: bound the work of a choice and of an exchange

With many unproven servers in one service a choice went through all of them, and a change of the live entries ranked all of them in the next choice. A choice now looks at up to 64 and ranks one, an exchange ranks 16. Reports go to peers only, so that Gate.Loads stays the requests at engines.

--- a/savorycore/savorypace/share.go
+++ b/savorycore/savorypace/share.go
@@ -3,7 +3,6 @@
 // This file divides the start of a server among the entries, and holds what they report.
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -45,8 +44,8 @@
 	if len(t.entries) < begin {
 		return true
 	}
-	if s.rankedFor != t.entriesSet+1 {
-		s.rank, s.rankedFor = t.rankFor(s.ID), t.entriesSet+1
+	if s.rankedFor != t.entriesSet && t.ranksLeft > 0 {
+		t.updateRank(s)
 	}
 	rank := float64(s.rank) * s.service.activeFraction(len(t.entries)+1)
 	peers := t.peerReport(s, now)
@@ -82,6 +81,15 @@
 	return s != nil && !s.proven && s.service.bounded() && s.slowness == 0 && s.inFlight == 0 && t.allowed(s, now) > 0
 }
 
+// maxRanks is the number of ranks that are updated in one exchange after the live entries have
+// changed. One more is updated in each choice; the others stay as they are until then.
+const maxRanks = 16
+
+func (t *Table) updateRank(s *server) {
+	s.rank, s.rankedFor = t.rankFor(s.ID), t.entriesSet
+	t.ranksLeft--
+}
+
 // rankFor returns the position of this entry among those that begin with a server, from 0. All
 // entries that know the same entries agree on it.
 func (t *Table) rankFor(id string) int {
@@ -126,8 +134,12 @@
 		s.peers.Allowance += r.Allowance
 	}
 	n := len(t.entries) + 1
+	t.ranksLeft = maxRanks
 	for _, svc := range t.services {
 		for _, s := range svc.active {
+			if s.rankedFor != t.entriesSet && t.ranksLeft > 0 {
+				t.updateRank(s)
+			}
 			switch r := t.peerReport(s, now); {
 			case !s.proven && float64(r.Allowance) >= float64(n)*svc.activeFraction(n):
 				t.prove(s, "peers", now)
@@ -141,26 +153,33 @@
 // Reports returns this entry's reports, at most limit: first those with requests or a raised
 // allowance, of which the others learn.
 func (t *Table) Reports(limit int, now time.Time) []Report {
-	var all []Report
+	var reports, rest []Report
 	for _, svc := range t.services {
 		svc.active = slices.DeleteFunc(svc.active, func(s *server) bool { return s.proven && now.After(s.reportUntil) })
 		for _, s := range svc.active {
-			r := Report{Server: s.ID, Requests: s.inFlight}
-			if now.Sub(s.sentAt) < t.ExchangeTime {
-				r.Requests = max(1, r.Requests)
-			}
-			if !s.proven {
-				r.Unproven = 1
-			}
-			if s.raised {
-				r.Allowance = int(s.allowance)
+			switch r := t.report(s, now); {
+			case len(reports) == limit:
+				return reports
+			case r.Requests > 0 || r.Allowance > 0:
+				reports = append(reports, r)
+			case len(rest) < limit:
+				rest = append(rest, r)
 			}
-			all = append(all, r)
 		}
 	}
-	news := func(r Report) int { return min(1, r.Requests+r.Allowance) }
-	slices.SortFunc(all, func(a, b Report) int {
-		return cmp.Or(cmp.Compare(news(b), news(a)), cmp.Compare(a.Server, b.Server))
-	})
-	return all[:min(limit, len(all))]
+	return append(reports, rest[:min(len(rest), limit-len(reports))]...)
+}
+
+func (t *Table) report(s *server, now time.Time) Report {
+	r := Report{Server: s.ID, Requests: s.inFlight}
+	if now.Sub(s.sentAt) < t.ExchangeTime {
+		r.Requests = max(1, r.Requests)
+	}
+	if !s.proven {
+		r.Unproven = 1
+	}
+	if s.raised {
+		r.Allowance = int(s.allowance)
+	}
+	return r
 }
--- a/savorycore/savorypace/table.go
+++ b/savorycore/savorypace/table.go
@@ -26,6 +26,9 @@
 	// minProvenFraction is the fraction of a service's slots at proven servers below which no
 	// server is bounded: steering at most doubles the load of the proven ones.
 	minProvenFraction = 0.5
+	// maxScan bounds the unproven servers of a service that one choice looks at. The next
+	// choice looks at the next ones.
+	maxScan = 64
 	// maxChanges bounds the changes that are kept for the log.
 	maxChanges = 32
 )
@@ -67,6 +70,8 @@
 	// changes.
 	entries    []uint64
 	entriesSet int
+	// ranksLeft is the number of ranks that may still be updated in this choice or exchange.
+	ranksLeft int
 	// listsSet counts the lists.
 	listsSet int
 	// peersAt is when the reports of the peers were set last, peersSet counts them.
@@ -113,6 +118,8 @@
 	known bool
 	// active are its servers that are unproven or are reported.
 	active []*server
+	// scanAt is the index in active at which the next scan begins.
+	scanAt int
 	// times are the usual times by the kind of request.
 	times map[string]*answerTimes
 }
@@ -194,6 +201,7 @@
 	} else if s.raised {
 		t.change(s, "lowered", cause)
 	}
+	t.updateRank(s)
 	s.proven, s.raised, s.allowance, s.slowness, s.skipped, s.reportUntil = false, false, 1, 0, 0, time.Time{}
 	if !slices.Contains(s.service.active, s) {
 		s.service.active = append(s.service.active, s)
@@ -270,6 +278,7 @@
 		s.inFlight++
 		s.service.inFlight++
 		s.sentAt = now
+		t.ranksLeft = 1
 	}
 }
 
@@ -288,17 +297,20 @@
 	if svc == nil || !svc.bounded() {
 		return
 	}
-	for _, s := range svc.active {
+	n := min(maxScan, len(svc.active))
+	for i := range n {
+		s := svc.active[(svc.scanAt+i)%len(svc.active)]
 		if !s.proven && s.inFlight >= t.allowed(s, now) {
-			s.skipped += float64(s.Slots) / float64(svc.slots)
+			s.skipped += float64(s.Slots) / float64(svc.slots) * float64(len(svc.active)) / float64(n)
 		}
 	}
+	svc.scanAt += n
 }
 
-// Passed reports whether an unproven server of a service is beyond its allowance and not used.
+// Passed reports whether one of the first unproven servers of a service is beyond its allowance and not used.
 func (t *Table) Passed(service string, now time.Time, used func(id string) bool) bool {
 	svc := t.services[service]
-	return svc != nil && svc.bounded() && slices.ContainsFunc(svc.active, func(s *server) bool {
+	return svc != nil && svc.bounded() && slices.ContainsFunc(svc.active[:min(maxScan, len(svc.active))], func(s *server) bool {
 		return !s.proven && s.inFlight >= t.allowed(s, now) && !used(s.ID)
 	})
 }
--- a/savoryentry/savorygate/pace.go
+++ b/savoryentry/savorygate/pace.go
@@ -208,6 +208,14 @@
 	a.g.view.recordPace(savorypace.Answer{Service: a.service.Name, Kind: kind, Size: a.tokens, Took: now.Sub(a.sentAt)}, servers, now)
 }
 
+// loadsForPeers returns this entry's requests in flight at engines and the pace that it reports.
+func (v *view) loadsForPeers(now time.Time) []savorypath.Load {
+	loads := v.ownLoads(now)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append(loads, v.paceReports(len(loads), now)...)
+}
+
 // paceReports returns the reports for peers, as loads of servers that do not exist. The caller
 // holds the lock.
 func (v *view) paceReports(loads int, now time.Time) []savorypath.Load {
--- a/savoryentry/savorygate/pace_test.go
+++ b/savoryentry/savorygate/pace_test.go
@@ -146,11 +146,11 @@
 	one.recordPace(savorypace.Answer{Service: "plain", Kind: "r", Took: time.Second}, []string{"a"}, paceBegin)
 	one.recordPace(savorypace.Answer{Service: "plain", Kind: "r", Took: time.Second}, []string{"new"}, paceBegin)
 	sum := make(loadSum)
-	sum.add(one.ownLoads(paceBegin))
+	sum.add(one.loadsForPeers(paceBegin))
 	is.Equal(sum.sorted(), []savorypath.Load{{Server: paceReportPrefix + "new", Memory: 2}})
 	is.True(two.pace.table.Active("plain"))
 	two.setEntries(2, []string{"e1"})
 	two.setPeerLoads(map[string][]savorypath.Load{"others": sum.sorted()}, paceBegin)
 	is.True(!two.pace.table.Active("plain"))
-	is.Equal(len(off.ownLoads(paceBegin)), 0)
+	is.Equal(len(off.loadsForPeers(paceBegin)), 0)
 }
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -137,7 +137,7 @@
 	// The reading is taken before the version: it then found none newer than that.
 	configReading, configAge := g.configReading(now)
 	cfg := g.config()
-	loads, relayed := g.relay.loadsFor(to, g.view.ownLoads(g.now()), now)
+	loads, relayed := g.relay.loadsFor(to, g.view.loadsForPeers(now), now)
 	state := &savorypeer.SyncState{
 		From: g.relay.self, Stamp: g.relay.stamp(to.Address, now), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -462,7 +462,7 @@
 	for _, t := range v.chainTables {
 		loads = append(loads, t.OwnLoads(now)...)
 	}
-	return append(loads, v.paceReports(len(loads), now)...)
+	return loads
 }
 
 // setPeerLoads replaces the loads of the peers.
