--- a/savorycore/savorypace/share.go
+++ b/savorycore/savorypace/share.go
@@ -47,7 +47,7 @@
 	if s.rankedFor != t.entriesSet && t.ranksLeft > 0 {
 		t.updateRank(s)
 	}
-	rank := float64(s.rank) * s.service.activeFraction(len(t.entries)+1)
+	rank := float64(s.rank) * min(s.service.activeFraction(len(t.entries)+1), t.unprovenFraction(s, now))
 	peers := t.peerReport(s, now)
 	if rank < float64(begin+peers.Allowance) {
 		return true
@@ -74,6 +74,19 @@
 	return min(1, 1/(svc.demandShare*float64(n)))
 }
 
+// unprovenFraction returns the fraction of the entries for which a server is unproven: a failure
+// may have been that of one entry's connection. It is 1 until the others' reports can have
+// arrived, and while there are too many servers to report all.
+func (t *Table) unprovenFraction(s *server, now time.Time) float64 {
+	if s.since.IsZero() {
+		s.since = now
+	}
+	if t.cut || now.Sub(s.since) < t.ExchangeTime || now.Sub(t.peersAt) > t.ExchangeTime {
+		return 1
+	}
+	return min(1, float64(t.peerReport(s, now).Unproven+1)/float64(len(t.entries)+1))
+}
+
 // Probe reports whether a server is unproven and the next request of this entry may show its
 // pace: entries with few requests would else take long to choose it. Not after a slow answer.
 func (t *Table) Probe(id string, now time.Time) bool {
@@ -154,19 +167,24 @@
 // allowance, of which the others learn.
 func (t *Table) Reports(limit int, now time.Time) []Report {
 	var reports, rest []Report
+	t.cut = false
 	for _, svc := range t.services {
 		svc.active = slices.DeleteFunc(svc.active, func(s *server) bool { return s.proven && now.After(s.reportUntil) })
 		for _, s := range svc.active {
 			switch r := t.report(s, now); {
 			case len(reports) == limit:
+				t.cut = true
 				return reports
 			case r.Requests > 0 || r.Allowance > 0:
 				reports = append(reports, r)
 			case len(rest) < limit:
 				rest = append(rest, r)
+			default:
+				t.cut = true
 			}
 		}
 	}
+	t.cut = t.cut || len(reports)+len(rest) > limit
 	return append(reports, rest[:min(len(rest), limit-len(reports))]...)
 }
 
--- a/savorycore/savorypace/table.go
+++ b/savorycore/savorypace/table.go
@@ -70,6 +70,8 @@
 	// changes.
 	entries    []uint64
 	entriesSet int
+	// cut is set if the last reports did not include all servers.
+	cut bool
 	// ranksLeft is the number of ranks that may still be updated in this choice or exchange.
 	ranksLeft int
 	// listsSet counts the lists.
@@ -97,6 +99,8 @@
 	sentAt   time.Time
 	// skipped is the expected number of this entry's requests that would have run here.
 	skipped float64
+	// since is the time of the first choice since the server is unproven.
+	since time.Time
 	// rank is the position of this entry among those that begin with the server, for the
 	// entries of rankedFor.
 	rank, rankedFor int
@@ -202,7 +206,7 @@
 		t.change(s, "lowered", cause)
 	}
 	t.updateRank(s)
-	s.proven, s.raised, s.allowance, s.slowness, s.skipped, s.reportUntil = false, false, 1, 0, 0, time.Time{}
+	s.proven, s.raised, s.allowance, s.slowness, s.skipped, s.since, s.reportUntil = false, false, 1, 0, 0, time.Time{}, time.Time{}
 	if !slices.Contains(s.service.active, s) {
 		s.service.active = append(s.service.active, s)
 	}
