savorypace: answers to requests from before a failure prove nothing

With 86 entries that saw a server fail, the answers that were under way raised the allowances at once: up to 12 requests were in flight at a cold server of 8 slots in virtual time. A server is drawn to a request of each entry only once, since one in trouble may answer errors fast.

--- a/savorycore/savorypace/answers.go
+++ b/savorycore/savorypace/answers.go
@@ -90,6 +90,8 @@
 		}
 		proven = false
 		switch {
+		case now.Add(-a.Took).Before(s.since):
+			// The request was sent before the server failed.
 		case u.n == 0 && svc.bounded():
 			// Proven servers have not shown the usual time yet.
 			t.raise(s, s.allowance+steadyStep, now)
@@ -147,8 +149,9 @@
 }
 
 // Failed records that a server failed. It is unproven when it is used again.
-func (t *Table) Failed(id string) {
+func (t *Table) Failed(id string, now time.Time) {
 	if s := t.servers[id]; s != nil {
 		t.restart(s, "failed")
+		s.since = now
 	}
 }
--- a/savorycore/savorypace/fleet_test.go
+++ b/savorycore/savorypace/fleet_test.go
@@ -196,17 +196,29 @@
 
 const round = 250 * time.Millisecond
 
-// Pattern: 86 and 860 entries at one new server that is 40 times as slow as the others for its
-// first 20 answers. Guards against entries that each begin gently and together flood it.
+// Pattern: 86 and 860 entries at one server that is 40 times as slow as the others for its first 20
+// answers, because it is new or has failed. Guards against entries that each begin gently and
+// together flood it.
 func TestManyEntriesAtOneColdServer(t *testing.T) {
-	for _, entries := range []int{86, 860} {
+	for _, c := range []struct {
+		entries int
+		failed  bool
+	}{{86, false}, {860, false}, {86, true}, {860, true}} {
 		is := is.New(t)
 		start := func(unbounded bool) (*fleet, *fleetServer, int) {
-			f := newFleet(entries, 10, round, func(int) float64 { return 800 / float64(entries) })
+			f := newFleet(c.entries, 10, round, func(int) float64 { return 800 / float64(c.entries) })
 			f.unbounded = unbounded
 			f.run(5 * time.Second)
-			cold := f.add(&fleetServer{Server: Server{ID: "new", Service: "app", Slots: 8}, answer: 50 * time.Millisecond, coldFactor: 40, coldAnswers: 20})
-			f.list()
+			cold := f.servers[0]
+			if c.failed {
+				for _, t := range f.tables {
+					t.Failed(cold.ID, f.now)
+				}
+			} else {
+				cold = f.add(&fleetServer{Server: Server{ID: "new", Service: "app", Slots: 8}, answer: 50 * time.Millisecond})
+				f.list()
+			}
+			cold.peak, cold.coldFactor, cold.coldAnswers = cold.inFlight, 40, 20
 			for cold.coldAnswers > 0 {
 				f.run(round)
 			}
@@ -217,7 +229,7 @@
 		f, cold, peak := start(false)
 		is.True(peak <= cold.Slots)
 		n := f.rounds(cold)
-		t.Log(entries, "entries: at most", peak, "in flight while cold,", flooded, "without a bound; fair share", n, "rounds later, at", f.now.Sub(begin))
+		t.Log(c, "at most", peak, "in flight while cold,", flooded, "without a bound; fair share", n, "rounds later, at", f.now.Sub(begin))
 		is.True(n <= 90)
 	}
 }
--- a/savorycore/savorypace/pace_test.go
+++ b/savorycore/savorypace/pace_test.go
@@ -31,7 +31,7 @@
 				births[id]++
 				list()
 			case 1:
-				table.Failed(id)
+				table.Failed(id, now)
 			case 2:
 				table.Rejected(id)
 			case 3, 4:
@@ -58,6 +58,7 @@
 			return time.Duration(max(u.seconds, 0.1) * float64(time.Second))
 		}
 		for range 40 {
+			now = now.Add(usual())
 			for _, id := range ids {
 				table.Answered(Answer{Service: "app", Took: usual()}, []string{id}, now)
 			}
--- a/savorycore/savorypace/script_test.go
+++ b/savorycore/savorypace/script_test.go
@@ -76,9 +76,15 @@
 			t.Started(id, s.now)
 		}
 	case "answer":
+		// One after the other.
 		for range s.number(words[3]) {
-			t.Answered(Answer{Service: "app", Size: s.size, Took: time.Duration(s.number(words[2])) * time.Millisecond}, strings.Split(id, ","), s.now)
+			took := time.Duration(s.number(words[2])) * time.Millisecond
+			s.now = s.now.Add(took)
+			t.Answered(Answer{Service: "app", Size: s.size, Took: took}, []string{id}, s.now)
 		}
+	case "late":
+		// To a request that was sent before the last command.
+		t.Answered(Answer{Service: "app", Size: s.size, Took: time.Duration(s.number(words[2])) * time.Millisecond}, []string{id}, s.now)
 	case "end":
 		t.Ended(id)
 	case "choose":
@@ -88,7 +94,7 @@
 	case "reject":
 		t.Rejected(id)
 	case "fail":
-		t.Failed(id)
+		t.Failed(id, s.now)
 	case "peers":
 		t.SetPeerReports([]Report{{Server: id, Requests: s.number(words[2]), Unproven: s.number(words[3]), Allowance: s.number(words[4])}}, s.now)
 	default:
--- a/savorycore/savorypace/share.go
+++ b/savorycore/savorypace/share.go
@@ -87,11 +87,12 @@
 	return min(1, float64(t.peerReport(s, now).Unproven+1)/float64(len(t.entries)+1))
 }
 
-// Probe reports whether a server is unproven and the next request of this entry may show its
-// pace: entries with few requests would else take long to choose it. Not after a slow answer.
+// Probe reports whether a server is unproven and had no request of this entry since: entries
+// with few requests would else take long to choose it. Later requests are not drawn to it, since
+// a server in trouble may refuse each at once.
 func (t *Table) Probe(id string, now time.Time) bool {
 	s := t.servers[id]
-	return s != nil && !s.proven && s.service.bounded() && s.slowness == 0 && s.inFlight == 0 && t.allowed(s, now) > 0
+	return s != nil && !s.proven && s.service.bounded() && !s.probed && s.inFlight == 0 && t.allowed(s, now) > 0
 }
 
 // maxRanks is the number of ranks that are updated in one exchange after the live entries have
--- a/savorycore/savorypace/table.go
+++ b/savorycore/savorypace/table.go
@@ -97,9 +97,11 @@
 	slowness float64
 	inFlight int
 	sentAt   time.Time
+	// probed is set once a request was sent since the server is unproven.
+	probed bool
 	// skipped is the expected number of this entry's requests that would have run here.
 	skipped float64
-	// since is the time of the first choice since the server is unproven.
+	// since is the time from which on the server is unproven, or of the first choice after it.
 	since time.Time
 	// rank is the position of this entry among those that begin with the server, for the
 	// entries of rankedFor.
@@ -206,7 +208,8 @@
 		t.change(s, "lowered", cause)
 	}
 	t.updateRank(s)
-	s.proven, s.raised, s.allowance, s.slowness, s.skipped, s.since, s.reportUntil = false, false, 1, 0, 0, time.Time{}, time.Time{}
+	s.proven, s.raised, s.probed, s.allowance, s.slowness, s.skipped = false, false, false, 1, 0, 0
+	s.since, s.reportUntil = time.Time{}, time.Time{}
 	if !slices.Contains(s.service.active, s) {
 		s.service.active = append(s.service.active, s)
 	}
@@ -281,7 +284,7 @@
 	if s := t.servers[id]; s != nil {
 		s.inFlight++
 		s.service.inFlight++
-		s.sentAt = now
+		s.sentAt, s.probed = now, true
 		t.ranksLeft = 1
 	}
 }
--- a/savoryentry/savorygate/pace.go
+++ b/savoryentry/savorygate/pace.go
@@ -160,9 +160,9 @@
 }
 
 // recordPaceFailure records that a server failed. The caller holds the lock.
-func (v *view) recordPaceFailure(id string) {
+func (v *view) recordPaceFailure(id string, now time.Time) {
 	if v.pace.table != nil {
-		v.pace.table.Failed(id)
+		v.pace.table.Failed(id, now)
 	}
 }
 
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -345,7 +345,7 @@
 	if shareWithPeers {
 		return v.recordSharedFailure(id, now)
 	}
-	v.recordPaceFailure(id)
+	v.recordPaceFailure(id, now)
 	return v.health.RecordFailure(id, now)
 }
 
@@ -354,7 +354,7 @@
 		v.sharedFailures = make(map[string]time.Time)
 	}
 	v.sharedFailures[id] = now
-	v.recordPaceFailure(id)
+	v.recordPaceFailure(id, now)
 	v.health.RecordReportedFailure(id, now)
 	return v.health.RecordFailure(id, now)
 }
@@ -398,7 +398,7 @@
 		return false
 	}
 	v.health.RecordReportedFailure(id, at)
-	v.recordPaceFailure(id)
+	v.recordPaceFailure(id, at)
 	return true
 }
 
