--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -3,9 +3,7 @@
 // This file defines view, the state of the servers, which routing uses.
 
 import (
-	"cmp"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -39,6 +37,7 @@
 	sharedFailures map[string]time.Time
 	// notices are what the servers state about themselves.
 	notices savorynotice.Board
+	pace    pacing
 	// slowdowns are the engines that are or were lately slower than usual.
 	slowdowns map[string]slowdown
 	// peerList is the copy of the list for peers and fingerprint its fingerprint.
@@ -113,6 +112,7 @@
 	}
 	if len(changes) > 0 {
 		v.rebuild(cfg)
+		v.updatePace(cfg)
 	}
 	return changes
 }
@@ -126,12 +126,14 @@
 	v.roster.ReadFailed()
 	v.listChanged = true
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 func (v *view) setConfig(cfg *savoryrouting.Config) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 // rebuild updates the chain tables with the available engines. It does nothing
@@ -178,8 +180,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	t := v.table(service)
-	choice, err := t.Choose(v.restrict(service, r, &v.notices, maxDelay, now), now)
+	r = v.restrict(service, r, &v.notices, maxDelay, now)
+	choice, err := t.Choose(r, now)
 	if err == nil {
+		v.startPaced(service, choice.Chain, &r, now)
 		t.RecordStart(choice.Chain, r.Tokens, now)
 		if r.CurrentChain == nil {
 			v.notices.Reserve(choice.Chain[0].Server)
@@ -208,6 +212,7 @@
 			return delay, ok && delay <= maxDelay
 		}
 	}
+	v.limitByPace(service, &r, now)
 	return r
 }
 
@@ -233,6 +238,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.table(service).RecordEnd(chain, tokens, time.Now())
+	v.endPacedChain(chain)
 }
 
 // dropChain undoes chooseChain for a request that was not sent.
@@ -241,107 +247,6 @@
 	v.unsent(chain[0].Server)
 }
 
-// serverChoice is a server chosen for a request without a chain.
-type serverChoice struct {
-	server   savoryroster.Server
-	runnerUp string
-	// inFlight is the number of this entry's requests at the server before this
-	// one.
-	inFlight int
-	// slots is the number of requests that the server runs at once.
-	slots      int
-	triedCount int
-	// delay is the time after which the server takes the request.
-	delay time.Duration
-}
-
-// chooseServer chooses the server of a service with the fewest requests of this
-// entry in flight per slot, and counts the new request at it, until
-// endServerRequest, and in its limit. It excludes the servers that this request already
-// tried or that take none for maxDelay by their own word. It chooses servers that take the
-// request later only if no other one works, and servers that are avoided after a failure
-// only if there is none of these either. The error is errNoServer if no server is available,
-// and errNotTaken if none takes the request.
-func (v *view) chooseServer(service string, tried map[string]bool, maxDelay time.Duration, now time.Time) (serverChoice, error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	c, err := v.pickServer(service, tried, &v.notices, maxDelay, now)
-	if err != nil {
-		return c, err
-	}
-	if v.inFlight == nil {
-		v.inFlight = make(map[string]int)
-	}
-	v.inFlight[c.server.ID]++
-	v.notices.Reserve(c.server.ID)
-	return c, nil
-}
-
-// pickServer is chooseServer without counting the request. The caller holds the lock.
-func (v *view) pickServer(service string, tried map[string]bool, notices *savorynotice.Board, maxDelay time.Duration, now time.Time) (serverChoice, error) {
-	servers := slices.DeleteFunc(v.roster.Available(service), func(s savoryroster.Server) bool { return tried[s.ID] })
-	if len(servers) == 0 {
-		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNoServer)
-	}
-	delays := make(map[string]time.Duration)
-	servers = slices.DeleteFunc(servers, func(s savoryroster.Server) bool {
-		delay, ok := notices.Delay(service, s.ID, now)
-		delays[s.ID] = delay
-		return !ok || delay > maxDelay
-	})
-	if len(servers) == 0 {
-		return serverChoice{}, fmt.Errorf("service %q: %w", service, errNotTaken)
-	}
-	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
-	loadRank := func(s savoryroster.Server) float64 {
-		r := float64(v.inFlight[s.ID]) / float64(max(1, s.Slots))
-		if s.Zone != v.zone {
-			// Between equally loaded servers the one in this zone wins.
-			r += 0.01
-		}
-		if d := delays[s.ID]; d > 0 {
-			r += delayPenalty + d.Seconds()
-		}
-		if v.health.Avoided(s.ID, now) {
-			r += avoidedPenalty
-		}
-		return r
-	}
-	slices.SortStableFunc(servers, func(a, b savoryroster.Server) int { return cmp.Compare(loadRank(a), loadRank(b)) })
-	c := serverChoice{server: servers[0], inFlight: v.inFlight[servers[0].ID], slots: servers[0].Slots, triedCount: len(tried), delay: delays[servers[0].ID]}
-	if len(servers) > 1 {
-		c.runnerUp = servers[1].ID
-	}
-	return c, nil
-}
-
-// hasOtherServer reports whether a service has an available server besides id that
-// is neither in tried nor avoided after a failure.
-func (v *view) hasOtherServer(service, id string, tried map[string]bool, now time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return slices.ContainsFunc(v.roster.Available(service), func(s savoryroster.Server) bool {
-		delay, ok := v.notices.Delay(service, s.ID, now)
-		return s.ID != id && !tried[s.ID] && !v.health.Avoided(s.ID, now) && ok && delay == 0
-	})
-}
-
-// delayPenalty is added to the load per slot of a server that takes the request later, and
-// avoidedPenalty to that of one that is avoided; real loads are far below both.
-const (
-	delayPenalty   = 100
-	avoidedPenalty = 1000
-)
-
-func (v *view) endServerRequest(id string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.inFlight[id]--
-	if v.inFlight[id] <= 0 {
-		delete(v.inFlight, id)
-	}
-}
-
 // recordFailure records a server's failure and returns the time until which the
 // server is avoided. If shareWithPeers is set, the failure is also passed on to
 // peers.
@@ -351,6 +256,7 @@
 	if shareWithPeers {
 		return v.recordSharedFailure(id, now)
 	}
+	v.recordPaceFailure(id, now)
 	return v.health.RecordFailure(id, now)
 }
 
@@ -359,6 +265,7 @@
 		v.sharedFailures = make(map[string]time.Time)
 	}
 	v.sharedFailures[id] = now
+	v.recordPaceFailure(id, now)
 	v.health.RecordReportedFailure(id, now)
 	return v.health.RecordFailure(id, now)
 }
@@ -402,6 +309,7 @@
 		return false
 	}
 	v.health.RecordReportedFailure(id, at)
+	v.recordPaceFailure(id, at)
 	return true
 }
 
@@ -410,6 +318,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.roster.ReportReceived(id, r.StartedAt, r.OrderCount, r.Holds, r.Busy)
+	v.updatePaceOf(id)
 	v.listChanged = true
 	v.rebuild(cfg)
 }
@@ -426,6 +335,7 @@
 	v.roster.MarkLeaving(id)
 	v.listChanged = true
 	v.rebuild(cfg)
+	v.updatePace(cfg)
 }
 
 // serverAt returns the ID of the server at an address of the chain, empty if there
@@ -470,6 +380,7 @@
 func (v *view) setPeerLoads(byPeer map[string][]savorypath.Load, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.setPaceReports(byPeer, now)
 	for _, t := range v.chainTables {
 		// The servers of other services are never looked up in this table.
 		t.SetPeers(byPeer, now)
@@ -545,6 +456,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.notices.SetEntries(others)
+	v.setPaceEntries(others)
 	for _, t := range v.chainTables {
 		t.Entries = n
 	}
