--- a/savorycore/savorypace/pace_test.go
+++ b/savorycore/savorypace/pace_test.go
@@ -91,8 +91,8 @@
 }
 
 // BenchmarkDecision measures the bounds of the 120 servers of a service for one request at 860
-// entries and 7,200 servers, of which each tenth is unproven; "joined" right after the live
-// entries have changed.
+// entries and 7,200 servers, of which each tenth is unproven; "rank" is added to a choice after the
+// live entries have changed, "list" is a new list of servers.
 func BenchmarkDecision(b *testing.B) {
 	table, now := &Table{Entry: "e0", ExchangeTime: exchangeTime}, begin
 	var servers, first []Server
