--- a/savorycore/savorypace/table.go
+++ b/savorycore/savorypace/table.go
@@ -30,7 +30,7 @@
 	// choice looks at the next ones.
 	maxScan = 64
 	// maxChanges bounds the changes that are kept for the log.
-	maxChanges = 32
+	maxChanges = 8
 )
 
 // Server is a server as it is listed.
@@ -231,7 +231,7 @@
 	t.changes = append(t.changes, Change{Server: s.ID, Service: s.Service, Kind: kind, Cause: cause})
 }
 
-// TakeChanges returns the changes since the last call, at most 32, and the number of those that
+// TakeChanges returns the changes since the last call, at most maxChanges, and the number of those that
 // were dropped.
 func (t *Table) TakeChanges() ([]Change, int) {
 	changes, dropped := t.changes, t.dropped
