savorygate, platform: bounds on callers, derived from memory_mb and max_fds

Requests to servers carry their body in blocks. Refusals are 413, 408, 431, 503 Memory with Retry-After, or a closed connection, and are counted in a metric for each cause and in one log line every 10 s; the rest of a refused body is not awaited. Settings with too little memory or descriptors are errors that name the field.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -111,7 +111,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in blocks, which are not changed.
+	Body [][]byte
 	// ID is the request ID that the response must echo.
 	ID string
 	// ResponseID returns the request ID from the header of a response. If it is
@@ -181,7 +182,7 @@
 	a := &Response{client: c, address: address, conn: cn, Reused: reused, writeDone: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	req := r.httpRequest()
-	head, err := encodeHead(req, r.Body)
+	head, err := encodeHead(req)
 	if err != nil {
 		a.abort()
 		return nil, &Error{Address: address, Stage: "write", Verdict: savoryverdict.NotRun, Err: err}
@@ -203,9 +204,12 @@
 
 // write sends the request. A large body is written in the background, since a
 // server may respond before it has read the whole body.
-func (a *Response) write(head, body []byte) {
-	if len(body) <= maxSyncBodyBytes {
-		_, err := a.conn.Write(append(head, body...))
+func (a *Response) write(head []byte, body [][]byte) {
+	if bodyBytes(body) <= maxSyncBodyBytes {
+		for _, block := range body {
+			head = append(head, block...)
+		}
+		_, err := a.conn.Write(head)
 		a.writeDone <- err
 		return
 	}
@@ -213,7 +217,7 @@
 	// nothing and its receive buffer is full.
 	a.unackedUnbounded = a.conn.setUnackedTimeout(0) == nil
 	go func() {
-		buffers := net.Buffers{head, body}
+		buffers := append(net.Buffers{head}, body...)
 		_, err := buffers.WriteTo(a.conn.Conn)
 		a.writeDone <- err
 	}()
@@ -431,7 +435,7 @@
 	path, query, hasQuery := strings.Cut(r.Target, "?")
 	req := &http.Request{
 		Method: r.Method, Host: r.Host, Header: r.Header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(r.Body)),
+		ContentLength: bodyBytes(r.Body),
 	}
 	req.URL = targetURL(path, query, hasQuery)
 	if _, ok := req.Header["User-Agent"]; !ok {
@@ -441,10 +445,19 @@
 	return req
 }
 
+// bodyBytes returns the length of a body.
+func bodyBytes(body [][]byte) int64 {
+	n := int64(0)
+	for _, block := range body {
+		n += int64(len(block))
+	}
+	return n
+}
+
 // encodeHead returns the encoded head of a request, without the body.
-func encodeHead(req *http.Request, body []byte) ([]byte, error) {
+func encodeHead(req *http.Request) ([]byte, error) {
 	var buf bytes.Buffer
-	if len(body) == 0 {
+	if req.ContentLength == 0 {
 		req.Body = http.NoBody
 		err := req.Write(&buf)
 		return buf.Bytes(), err
--- a/savorycore/savoryconn/client_test.go
+++ b/savorycore/savoryconn/client_test.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	a, err := c.Do(ctx, to, &Request{
-		Method: "POST", Target: "/x//y?a=%20b", Host: "h", Header: http.Header{}, Body: []byte("body"), ID: id,
+		Method: "POST", Target: "/x//y?a=%20b", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("bo"), []byte("dy")}, ID: id,
 		ResponseID: func(h http.Header) string { return h.Get("Id") },
 	})
 	if err != nil {
@@ -178,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	a, err := c.Do(ctx, to, &Request{
-		Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20), ID: "1",
+		Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: [][]byte{make([]byte, 32<<20)}, ID: "1",
 		ResponseID: func(h http.Header) string { return h.Get("Id") },
 	})
 	is.NoErr(err)
--- a/savorycore/savoryconn/head_test.go
+++ b/savorycore/savoryconn/head_test.go
@@ -14,10 +14,10 @@
 func TestEncodeHeadDoesNotCopyBody(t *testing.T) {
 	is := is.New(t)
 	body := make([]byte, 32<<20)
-	r := &Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: body}
+	r := &Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: [][]byte{body}}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	head, err := encodeHead(r.httpRequest(), body)
+	head, err := encodeHead(r.httpRequest())
 	runtime.ReadMemStats(&after)
 	is.NoErr(err)
 	is.True(strings.HasSuffix(string(head), "Content-Length: 33554432\r\n\r\n"))
--- a/savorycore/savorypeer/server.go
+++ b/savorycore/savorypeer/server.go
@@ -31,6 +31,8 @@
 	keepaliveInterval = 10 * time.Second
 	// keepaliveTimeout is the time that a probe waits for its response.
 	keepaliveTimeout = 3 * time.Second
+	// maxHeaderBytes bounds the header of a call; that of an entry has below 1 KB.
+	maxHeaderBytes = 16 << 10
 	// idleTimeout is the time without a call after which a connection is closed.
 	idleTimeout = time.Minute
 )
@@ -58,6 +60,8 @@
 		grpc.ForceServerCodec(codec{}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 2 * idleTimeout, Timeout: keepaliveTimeout, MaxConnectionIdle: 2 * idleTimeout}),
+		grpc.ConnectionTimeout(keepaliveTimeout),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2}),
 	}
 	if s.Credentials != nil {
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -18,6 +18,7 @@
 	"savorycart.example/savorycore/savoryquarantine"
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savoryverdict"
+	"savorycart.example/savoryentry/savoryfront"
 )
 
 const (
@@ -94,7 +95,9 @@
 	customer  *savoryrouting.Customer
 	startedAt time.Time
 	deadline  time.Time
-	body      []byte
+	// body is nil until it was read. bodyRead is set if nothing is left of it.
+	body     *savoryfront.Body
+	bodyRead bool
 	// prompt is what the request shares with others.
 	prompt savoryquarantine.Prompt
 	// trial is set if the request tries a quarantined part.
@@ -141,10 +144,20 @@
 		// connects to another entry for its next request.
 		w.Header().Set("Connection", "close")
 	}
-	if err := c.accept(); err != nil {
+	savoryfront.Serving(r)
+	begun := g.intake.Begin()
+	if begun {
+		defer g.intake.End()
+	}
+	err := c.accept(begun)
+	if c.body != nil {
+		defer c.body.Release()
+	}
+	if err != nil {
 		c.fail(err)
 		return
 	}
+	savoryfront.Known(r)
 	if c.route.Kind == savoryrouting.Streaming && c.service.Engine != nil && c.service.Engine.Layers > 0 {
 		c.serveStream()
 		return
@@ -153,8 +166,8 @@
 }
 
 // accept checks the request, selects its route, customer and service, sets the
-// deadline and reads the body.
-func (c *call) accept() *savoryverdict.Error {
+// deadline and reads the body. begun is false if too many requests are in flight.
+func (c *call) accept(begun bool) *savoryverdict.Error {
 	caller, err := c.g.Dialect.ReadCaller(c.r.Header)
 	c.caller = caller
 	c.sampled = c.g.sample(caller.ID)
@@ -162,6 +175,9 @@
 	if err != nil {
 		return savoryverdict.Invalid("Header", "%v", err)
 	}
+	if !begun {
+		return c.refusal(&savoryfront.RefusalError{Cause: savoryfront.Requests})
+	}
 	if c.table == nil || !c.g.view.hasList() {
 		c.g.awaitStart(c.r.Context(), caller.Deadline)
 		c.table = c.g.table.Load()
@@ -215,43 +231,67 @@
 	return nil
 }
 
+// maxBodyBytes returns the limit on bodies of a configuration.
+func maxBodyBytes(cfg *savoryrouting.Config) int64 {
+	if cfg == nil || cfg.Limits.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return cfg.Limits.MaxBodyBytes
+}
+
 // readBody reads the whole body, so that the request can be sent more than
 // once.
 func (c *call) readBody() *savoryverdict.Error {
-	limit := c.table.Config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if c.r.ContentLength > limit {
-		return bodyTooLarge(limit)
-	}
-	if c.r.ContentLength == 0 {
-		return nil
-	}
-	if err := c.rc.SetReadDeadline(c.deadline); err != nil {
-		c.log.WithError(err).Debug("read deadline not set")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	body, err := c.g.intake.ReadBody(c.r, c.rc, savoryfront.BodyLimits{Bytes: maxBodyBytes(c.table.Config), Deadline: c.deadline})
+	c.body = body
 	if err != nil {
-		return &savoryverdict.Error{
+		return c.refusal(err)
+	}
+	c.bodyRead = true
+	return nil
+}
+
+// refusal returns the error response for a refusal of the entry's own bounds.
+func (c *call) refusal(err error) *savoryverdict.Error {
+	var refusal *savoryfront.RefusalError
+	if !errors.As(err, &refusal) {
+		return savoryverdict.Wrap(err)
+	}
+	var e *savoryverdict.Error
+	switch refusal.Cause {
+	case savoryfront.BodyTooLarge:
+		e = &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusRequestEntityTooLarge, Code: "BodyTooLarge",
+			Field: "Body", Message: "is larger than " + strconv.FormatInt(maxBodyBytes(c.table.Config), 10) + " bytes",
+		}
+	case savoryfront.BodyTooSlow, savoryfront.BodyIncomplete:
+		e = &savoryverdict.Error{
 			Verdict: savoryverdict.NotRun, Status: http.StatusRequestTimeout, Code: "BodyIncomplete",
-			Message: "the request body is incomplete", Err: err,
+			Message: "the request body is incomplete",
 		}
+	default:
+		e = savoryverdict.Unavailable("Memory", savoryfront.RetryDelay, "this entry has no memory for the request now")
 	}
-	if int64(len(body)) > limit {
-		return bodyTooLarge(limit)
-	}
-	c.body = body
-	if err := c.rc.SetReadDeadline(time.Time{}); err != nil {
-		c.log.WithError(err).Debug("read deadline not cleared")
-	}
-	return nil
+	e.Err = err
+	return e
 }
 
-func bodyTooLarge(limit int64) *savoryverdict.Error {
-	return &savoryverdict.Error{
-		Verdict: savoryverdict.NotRun, Status: http.StatusRequestEntityTooLarge, Code: "BodyTooLarge",
-		Field: "Body", Message: "is larger than " + strconv.FormatInt(limit, 10) + " bytes",
+// unreadBodyTime is the time in which the rest of a refused request's body must arrive, so that its
+// connection can be used again.
+const unreadBodyTime = 500 * time.Millisecond
+
+// leaveBody keeps a body that was not read from holding the connection of a refused request.
+func (c *call) leaveBody(e *savoryverdict.Error) {
+	if c.bodyRead || c.r.ContentLength == 0 {
+		return
+	}
+	var refusal *savoryfront.RefusalError
+	if errors.As(e, &refusal) {
+		savoryfront.Abandon(c.w.Header(), c.rc)
+		return
+	}
+	if err := c.rc.SetReadDeadline(c.g.now().Add(unreadBodyTime)); err != nil {
+		c.log.WithError(err).Debug("read deadline not set")
 	}
 }
 
@@ -292,7 +332,7 @@
 	f.Priority = savoryrouting.Priority(c.route, c.customer)
 	c.g.Dialect.SetRequestHeader(h, f)
 	return &savoryconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body.Blocks,
 		ID: c.caller.ID, ResponseID: c.g.Dialect.ResponseID,
 	}
 }
@@ -343,6 +383,7 @@
 	h := c.w.Header()
 	// The header of a server's response may have been copied, but not written.
 	clear(h)
+	c.leaveBody(e)
 	if c.g.stopping.Load() {
 		h.Set("Connection", "close")
 	}
@@ -377,7 +418,7 @@
 	if late {
 		c.g.metrics.missedObjectives.WithLabelValues(kind).Inc()
 	}
-	if e == nil && !c.sampled && !late {
+	if !c.logsEnd(e, late) {
 		return
 	}
 	logger := c.log.WithFields(log.Fields{
@@ -400,6 +441,16 @@
 	logger.Info("request ended")
 }
 
+// logsEnd reports whether the end of the request is logged. Refusals by the entry's own bounds are
+// not, since a crowd must not fill the log; sweep logs their number.
+func (c *call) logsEnd(e *savoryverdict.Error, late bool) bool {
+	if e == nil {
+		return c.sampled || late
+	}
+	var refusal *savoryfront.RefusalError
+	return !errors.As(e, &refusal)
+}
+
 // times returns the fields of the log that tell where the time of the request went.
 func (c *call) times(late bool) log.Fields {
 	fields := log.Fields{}
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -20,6 +20,7 @@
 	"gopkg.in/tomb.v2"
 
 	"savorycart.example/savorycore/savoryconn"
+	"savorycart.example/savorycore/savoryintake"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savorypeer"
@@ -27,6 +28,7 @@
 	"savorycart.example/savorycore/savoryrouting"
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savoryentry/savoryfront"
 )
 
 const (
@@ -79,8 +81,13 @@
 	metrics      *metrics
 	quarantine   quarantine
 	inFlight     atomic.Int64
-	exchanges    exchangeCounts
-	durations    durations
+	// intake bounds what is held for callers, intakeLimits are its limits in force.
+	intake       savoryfront.Front
+	intakeLimits savoryintake.Limits
+	// refusalsLoggedAt is when the refused callers were last logged.
+	refusalsLoggedAt time.Time
+	exchanges        exchangeCounts
+	durations        durations
 	// calls is the context of all requests of callers; cutCalls ends it.
 	calls    context.Context
 	cutCalls context.CancelCauseFunc
@@ -175,6 +182,7 @@
 func (g *Gate) prepare(s *Settings) {
 	g.startedAt = g.now()
 	g.metrics = newMetrics(g.LogDropped)
+	g.prepareIntake()
 	g.view.zone = s.Zone
 	g.view.notices.Entry = s.Peers.String()
 	g.view.chainTables = nil
@@ -197,7 +205,7 @@
 
 // listen opens the listeners and serves on them.
 func (g *Gate) listen(s *Settings) error {
-	front, err := net.Listen("tcp", s.Front.String())
+	front, err := savoryfront.Listen(s.Front.String(), 0)
 	if err != nil {
 		return fmt.Errorf("open the listener for callers: %w", err)
 	}
@@ -209,19 +217,21 @@
 	if err != nil {
 		return fmt.Errorf("open the listener for peers: %w", err)
 	}
+	bounds := g.intake.Bounds()
+	callers := g.intake.Callers(front)
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState,
+		ConnContext: savoryfront.ConnContext, Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState,
 		DisableGeneralOptionsHandler: true, BaseContext: func(net.Listener) context.Context { return g.calls },
 	}
 	router := bunrouter.New()
 	router.GET(g.Dialect.ReadyPath, bunrouter.HTTPHandlerFunc(g.handleReady))
-	readyServer := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	readyServer := toolServer(router)
 	peerServer := &savorypeer.Server{Sync: g.handleSync, ConfigPart: g.handleConfigPart}
 	peerServer.Prepare()
-	g.tomb.Go(func() error { return g.serve(server, front) })
-	g.tomb.Go(func() error { return g.serve(readyServer, ready) })
+	g.tomb.Go(func() error { return g.serve(server, callers) })
+	g.tomb.Go(func() error { return g.serve(readyServer, g.intake.Others(ready, bounds.ToolConnections)) })
 	g.tomb.Go(func() error {
-		if err := peerServer.Serve(peers); err != nil && g.alive() {
+		if err := peerServer.Serve(g.intake.Others(peers, bounds.PeerConnections)); err != nil && g.alive() {
 			return err
 		}
 		return nil
@@ -236,7 +246,7 @@
 		peerServer.Stop()
 		return errors.Join(server.Close(), readyServer.Close())
 	})
-	g.tomb.Go(func() error { return g.awaitStop(front) })
+	g.tomb.Go(func() error { return g.awaitStop(callers) })
 	return nil
 }
 
@@ -250,8 +260,10 @@
 	router.GET("/quarantine", bunrouter.HTTPHandlerFunc(g.handleQuarantine))
 	router.POST("/quarantine/try", bunrouter.HTTPHandlerFunc(g.handleTrial))
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})))
-	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
-	g.tomb.Go(func() error { return g.serve(server, l) })
+	server := toolServer(router)
+	g.tomb.Go(func() error {
+		return g.serve(server, g.intake.Others(l, g.intake.Bounds().ToolConnections))
+	})
 	g.tomb.Go(func() error {
 		<-g.tomb.Dying()
 		return server.Close()
@@ -281,6 +293,7 @@
 
 // connState tracks the connections of callers.
 func (g *Gate) connState(c net.Conn, state http.ConnState) {
+	savoryfront.ConnState(c, state)
 	g.idleMu.Lock()
 	defer g.idleMu.Unlock()
 	switch state {
@@ -321,6 +334,7 @@
 		g.view.expireSlowdowns(now, g.config())
 		g.view.expireNotices(now)
 		g.setBudgets()
+		g.updateIntake(now)
 		_, age := g.configReading(now)
 		g.metrics.configAge.Set(age.Seconds())
 		for state, n := range g.view.countsByState(now) {
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -35,6 +35,9 @@
 	notices          *prometheus.CounterVec
 	noticeWait       prometheus.Histogram
 	promptParts      *prometheus.GaugeVec
+	refusals         *prometheus.CounterVec
+	heldBytes        prometheus.Gauge
+	connections      prometheus.Gauge
 	logDropped       prometheus.CounterFunc
 }
 
@@ -81,12 +84,15 @@
 		promptParts: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "prompt_parts", Help: "Parts of prompts under which servers ended, by state.",
 		}, []string{"state"}),
+		refusals:    newCounterVec("caller_refusals_total", "Callers that were refused, or whose connection was closed, to bound memory and connections.", "cause"),
+		heldBytes:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_bytes", Help: "Bytes of heads and bodies in progress."}),
+		connections: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_connections", Help: "Open connections of callers."}),
 		logDropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.syncDuration, m.timerDelay, m.orders,
-		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.promptParts, m.refusals, m.heldBytes, m.connections, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/settings.go
+++ b/savoryentry/savorygate/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryintake"
 )
 
 // Settings are the settings of a Gate. An adapter decodes them from the
@@ -47,6 +48,10 @@
 	StallTimeout time.Duration
 	// MinLeaseTTL is the shortest TTL of a lease that the store grants.
 	MinLeaseTTL time.Duration
+	// MemoryBytes is the memory above which the platform kills the process, Descriptors the
+	// number of open files and connections; 0 if not stated.
+	MemoryBytes int64
+	Descriptors int
 	// LogLevel is "debug", "info", "warn" or "error".
 	LogLevel string
 	// Metrics is the port that serves the metrics; 0 for none.
@@ -78,5 +83,13 @@
 			return &savoryconfig.InputError{Field: r.field, Message: r.message}
 		}
 	}
+	if field, err := s.Limits().Check("MemoryBytes", "Descriptors", "MaxBodyBytes"); err != nil {
+		return &savoryconfig.InputError{Field: field, Message: err.Error()}
+	}
 	return nil
 }
+
+// Limits returns the limits of the VM, without that on bodies, which is in the configuration.
+func (s *Settings) Limits() savoryintake.Limits {
+	return savoryintake.Limits{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors}
+}
