savorynode: bounds on callers, peers and operators

Same bounds as on the platform. Limits.MemoryMB and Limits.MaxDescriptors state those of the VM; without them the smallest VM is assumed. With Limits set, a Callers.MaxBodyBytes or MaxConnections that it cannot support is an error. At the bound on connections the quietest one gives way instead of all new ones waiting. A slow body is refused with 408 instead of 400. HTTP/2 connections hold at most 64 KB of unread bodies.

--- a/savoryentry/main.go
+++ b/savoryentry/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"savorycart.example/savorycore/savorylog"
@@ -15,6 +16,11 @@
 	"savorycart.example/savoryentry/savorynode"
 )
 
+// memoryFraction is the fraction of the VM's memory from which on the runtime
+// collects garbage more often. The rest is for what it does not count, such as
+// bytes that were received and not yet read.
+const memoryFraction = 0.7
+
 // Exit codes.
 const (
 	exitFailed = 1
@@ -49,6 +55,9 @@
 		fmt.Println("settings are right")
 		return nil
 	}
+	if memory := settings.MemoryBytes(); memory > 0 {
+		debug.SetMemoryLimit(int64(memoryFraction * float64(memory)))
+	}
 	logger, err := savorylog.New(os.Stderr, settings.LogLevel)
 	if err != nil {
 		return err
--- a/savoryentry/savorynode/callers.go
+++ b/savoryentry/savorynode/callers.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"slices"
@@ -26,6 +25,7 @@
 	"savorycart.example/savorycore/savoryconfig"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savoryentry/savoryfront"
 )
 
 // Header fields of requests and responses.
@@ -58,6 +58,7 @@
 	tables           *tables
 	metrics          *metrics
 	requestsInFlight *inFlightCounter
+	intake           *savoryfront.Front
 	pipelines        *pipelineRunner
 	services         *serviceRunner
 }
@@ -68,6 +69,8 @@
 	customer *savoryworld.Customer
 	snapshot *savoryconfig.Snapshot
 	kind     string
+	// bodyRead is set if nothing is left of the body.
+	bodyRead bool
 	log      log.Interface
 }
 
@@ -105,6 +108,11 @@
 		return savoryverdict.Unavailable("Draining", drainRetryAfter, "this entry is draining; retry the request")
 	}
 	defer c.requestsInFlight.end()
+	savoryfront.Serving(r)
+	if !c.intake.Begin() {
+		return c.refusal(&savoryfront.RefusalError{Cause: savoryfront.Requests})
+	}
+	defer c.intake.End()
 	c.metrics.inFlight.Inc()
 	defer c.metrics.inFlight.Dec()
 	cl.snapshot = c.keeper.snapshot()
@@ -115,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	savoryfront.Known(r)
 	cl.customer = customer
 	cl.log = cl.log.WithField("customer", customer.Name)
 	return handle()
@@ -128,11 +137,10 @@
 		e := savoryverdict.Wrap(err)
 		verdict = e.Verdict
 		if !w.started {
+			leaveBody(w, r, cl, err)
 			writeError(w, e)
 		}
-		cl.log.WithFields(log.Fields{
-			"method": r.Method, "path": r.URL.Path, "status": e.Status, "code": e.Code, "verdict": e.Verdict, "cause": e.Error(),
-		}).Info("request failed")
+		c.logFailure(r, cl, e)
 	}
 	c.metrics.requests.WithLabelValues(cl.kind, strconv.Itoa(w.status), string(verdict)).Inc()
 	if w.truncated {
@@ -142,6 +150,17 @@
 	}
 }
 
+// logFailure logs a failed request, unless the entry's own bounds refused it: a crowd must not
+// fill the log, which states the number of those refusals.
+func (c *callers) logFailure(r *http.Request, cl *call, e *savoryverdict.Error) {
+	if refusal := (*savoryfront.RefusalError)(nil); errors.As(e, &refusal) {
+		return
+	}
+	cl.log.WithFields(log.Fields{
+		"method": r.Method, "path": r.URL.Path, "status": e.Status, "code": e.Code, "verdict": e.Verdict, "cause": e.Error(),
+	}).Info("request failed")
+}
+
 // authenticate returns the customer for the request's key.
 func authenticate(snapshot *savoryconfig.Snapshot, r *http.Request) (*savoryworld.Customer, error) {
 	values := r.Header.Values("Authorization")
@@ -181,28 +200,61 @@
 }
 
 // readBody reads a request body within the size and time limits of the
-// settings.
-func (c *callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	limit := c.settings.Callers.MaxBodyBytes
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(c.settings.Callers.BodyTimeout.AsDuration())); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, savoryverdict.Invalid("Body", "cannot be read: %v", err)
+// settings. Release must be called on the result.
+func (c *callers) readBody(w http.ResponseWriter, r *http.Request, cl *call) (*savoryfront.Body, error) {
+	body, err := c.intake.ReadBody(r, http.NewResponseController(w), savoryfront.BodyLimits{
+		Bytes: c.settings.Callers.MaxBodyBytes, Deadline: time.Now().Add(c.settings.Callers.BodyTimeout.AsDuration()),
+	})
+	if err != nil {
+		return body, c.refusal(err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &savoryverdict.Error{
+	cl.bodyRead = true
+	return body, nil
+}
+
+// refusal returns the error response for a refusal of the entry's own bounds.
+func (c *callers) refusal(err error) error {
+	var refusal *savoryfront.RefusalError
+	if !errors.As(err, &refusal) {
+		return err
+	}
+	var e *savoryverdict.Error
+	switch refusal.Cause {
+	case savoryfront.BodyTooLarge:
+		e = &savoryverdict.Error{
 			Verdict: savoryverdict.NotRun, Status: http.StatusRequestEntityTooLarge, Code: "BodyTooLarge",
-			Field: "Body", Message: fmt.Sprintf("has more than %d bytes", limit),
+			Field: "Body", Message: fmt.Sprintf("has more than %d bytes", c.settings.Callers.MaxBodyBytes),
+		}
+	case savoryfront.BodyTooSlow:
+		e = &savoryverdict.Error{
+			Verdict: savoryverdict.NotRun, Status: http.StatusRequestTimeout, Code: "BodyIncomplete",
+			Field: "Body", Message: "was not received in time",
 		}
-	case err != nil:
-		return nil, savoryverdict.Invalid("Body", "was not received completely: %v", err)
+	case savoryfront.BodyIncomplete:
+		e = savoryverdict.Invalid("Body", "was not received completely: %v", refusal.Err)
+	default:
+		e = savoryverdict.Unavailable("Memory", savoryfront.RetryDelay, "this entry has no memory for the request now")
 	}
-	// The deadline applies to this body only, not to the next request on the
-	// connection.
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	e.Err = err
+	return e
+}
+
+// unreadBodyTime is the time in which the rest of a refused request's body must
+// arrive, so that its connection can be used again.
+const unreadBodyTime = 500 * time.Millisecond
+
+// leaveBody keeps a body that was not read from holding the connection of a
+// refused request.
+func leaveBody(w http.ResponseWriter, r *http.Request, cl *call, err error) {
+	if cl.bodyRead || r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	if refusal := (*savoryfront.RefusalError)(nil); errors.As(err, &refusal) {
+		savoryfront.Abandon(w.Header(), control)
+		return
+	}
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyTime)) // If it fails, the connection is closed.
 }
 
 // newErrorBody returns the response body for e.
--- a/savoryentry/savorynode/golden_test.go
+++ b/savoryentry/savorynode/golden_test.go
@@ -38,6 +38,7 @@
 		},
 		Stop:   StopSettings{NoticeTime: at(5), Limit: at(6)},
 		Orders: OrderSettings{Enabled: true, MaxLoading: 2, LeaseTime: at(7)},
+		Limits: LimitSettings{MemoryMB: 8, MaxDescriptors: 9},
 	}}})
 }
 
--- a/savoryentry/savorynode/metrics.go
+++ b/savoryentry/savorynode/metrics.go
@@ -32,6 +32,8 @@
 	peerBytes     *prometheus.GaugeVec
 	connections   prometheus.Gauge
 	orders        *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	heldBytes     prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -52,11 +54,13 @@
 		peersLive:     gauge("peers_live", "Other entries that answer."),
 		peerBytes:     gauges("peer_bytes", "Bytes exchanged with other entries.", "direction"),
 		connections:   gauge("caller_connections", "Open connections of callers."),
+		refusals:      counter("caller_refusals_total", "Callers that were refused, or whose connection was closed, to bound memory and connections.", "cause"),
+		heldBytes:     gauge("caller_bytes", "Bytes of heads and bodies in progress."),
 		orders:        counter("orders_total", "Orders to engines by result.", "result"),
 	}
 	m.registry.MustRegister(m.requests, m.firstToken, m.betweenTokens, m.recovery, m.inFlight, m.waitingTokens, m.retries,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.tokens, m.claims, m.revision, m.configDelay, m.storeCalls, m.peersLive, m.peerBytes, m.connections, m.orders)
+		m.tokens, m.claims, m.revision, m.configDelay, m.storeCalls, m.peersLive, m.peerBytes, m.connections, m.orders, m.refusals, m.heldBytes)
 	return m
 }
 
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -36,6 +36,7 @@
 	"savorycart.example/savorycore/savorystore"
 	"savorycart.example/savorycore/savorytls"
 	"savorycart.example/savorycore/savoryvmlist"
+	"savorycart.example/savoryentry/savoryfront"
 )
 
 const (
@@ -99,6 +100,7 @@
 	orderer          *orderer
 	requestsInFlight *inFlightCounter
 	pool             *workerPool
+	intake           savoryfront.Front
 	callers          *callers
 	admin            *admin
 	peers            *savorypeer.Server
@@ -133,7 +135,7 @@
 		"zone": n.Settings.Zone, "region": n.Settings.Region,
 	}).Info("entry started")
 	callersServer := n.callersServer()
-	adminServer := &http.Server{Handler: n.admin.handler(), ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout.AsDuration()}
+	adminServer := n.adminServer()
 	n.tomb.Go(func() error { return serveHTTP(callersServer, n.Listeners.Callers) })
 	n.tomb.Go(func() error { return serveHTTP(adminServer, n.Listeners.Admin) })
 	n.tomb.Go(func() error { return n.peers.Serve(n.Listeners.Peers) })
@@ -268,6 +270,8 @@
 	}
 	s := n.Settings
 	n.metrics = newMetrics()
+	n.intake.OnRefuse = func(c savoryfront.Cause) { n.metrics.refusals.WithLabelValues(string(c)).Inc() }
+	n.intake.Configure(s.bounds())
 	n.requestsInFlight = newInFlightCounter()
 	n.pool = newWorkerPool()
 	store := &savorystore.Store{Address: s.Platform.Store, Timeout: s.Platform.StoreTimeout.AsDuration(), OnCall: n.metrics.recordStoreCall}
@@ -352,7 +356,7 @@
 func (n *Node) buildRunners() {
 	n.callers = &callers{
 		settings: n.Settings, log: n.Log, now: n.Now, keeper: n.keeper, tables: n.tables,
-		metrics: n.metrics, requestsInFlight: n.requestsInFlight,
+		metrics: n.metrics, requestsInFlight: n.requestsInFlight, intake: &n.intake,
 	}
 	n.callers.pipelines = &pipelineRunner{
 		callers: n.callers, gossip: n.gossip, pool: n.pool,
@@ -372,6 +376,7 @@
 	n.tomb.Go(func() error { return n.claims.leaseLoop(&n.tomb) })
 	n.tomb.Go(func() error { return n.settler.run(&n.tomb) })
 	n.gossip.run(&n.tomb)
+	n.tomb.Go(n.watchIntake)
 	if n.Settings.Orders.Enabled {
 		n.tomb.Go(func() error { return n.orderer.run(&n.tomb) })
 	}
@@ -406,8 +411,10 @@
 		return opened, nil
 	}
 	var err error
-	if n.Listeners.Callers, err = open(n.Listeners.Callers, n.Settings.Callers.Address); err != nil {
-		return err
+	if n.Listeners.Callers == nil {
+		if n.Listeners.Callers, err = savoryfront.Listen(n.Settings.Callers.Address.String(), keepAliveInterval); err != nil {
+			return fmt.Errorf("listen on %s: %w", n.Settings.Callers.Address, err)
+		}
 	}
 	if n.Listeners.Peers, err = open(n.Listeners.Peers, n.Settings.Peers.Address); err != nil {
 		return err
@@ -415,9 +422,11 @@
 	if n.Listeners.Admin, err = open(n.Listeners.Admin, n.Settings.Admin.Address); err != nil {
 		return err
 	}
-	n.Listeners.Callers = newBoundedListener(n.Listeners.Callers, n.Settings.Callers.MaxConnections, n.metrics.connections)
-	n.Listeners.Callers = withTLS(n.Listeners.Callers, n.loaders.callers)
-	n.Listeners.Admin = withTLS(n.Listeners.Admin, n.loaders.admin)
+	callers, bounds := n.intake.Callers(n.Listeners.Callers), n.intake.Bounds()
+	callers.OnChange = func(change int) { n.metrics.connections.Add(float64(change)) }
+	n.Listeners.Callers = withTLS(callers, n.loaders.callers)
+	n.Listeners.Peers = n.intake.Others(n.Listeners.Peers, bounds.PeerConnections)
+	n.Listeners.Admin = withTLS(n.intake.Others(n.Listeners.Admin, bounds.ToolConnections), n.loaders.admin)
 	return nil
 }
 
@@ -455,6 +464,11 @@
 		ReadHeaderTimeout: n.Settings.Callers.HeaderTimeout.AsDuration(),
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    n.Settings.Callers.MaxHeaderBytes,
+		ConnState:         savoryfront.ConnState,
+		ConnContext:       savoryfront.ConnContext,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes,
+		},
 	}
 }
 
--- a/savoryentry/savorynode/pipeline.go
+++ b/savoryentry/savorynode/pipeline.go
@@ -119,11 +119,16 @@
 
 // serve serves one completion request.
 func (p *pipelineRunner) serve(w http.ResponseWriter, r *http.Request, cl *call, chat bool) error {
-	body, err := p.callers.readBody(w, r)
+	body, err := p.callers.readBody(w, r, cl)
+	defer body.Release()
 	if err != nil {
 		return err
 	}
-	c, err := parseCompletion(body, chat, cl)
+	text, err := body.Join()
+	if err != nil {
+		return p.callers.refusal(err)
+	}
+	c, err := parseCompletion(text, chat, cl)
 	if err != nil {
 		return err
 	}
--- a/savoryentry/savorynode/services.go
+++ b/savoryentry/savorynode/services.go
@@ -4,7 +4,6 @@
 // services that are not pipelines of engines.
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -23,6 +22,7 @@
 	"savorycart.example/savorycore/savoryclaim"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
+	"savorycart.example/savoryentry/savoryfront"
 )
 
 const (
@@ -67,7 +67,7 @@
 	method string
 	target string
 	header http.Header
-	body   []byte
+	body   *savoryfront.Body
 }
 
 // serviceResponse is a response of a server whose header has been received.
@@ -100,7 +100,8 @@
 	if err != nil {
 		return err
 	}
-	body, err := s.callers.readBody(w, r)
+	body, err := s.callers.readBody(w, r, cl)
+	defer body.Release()
 	if err != nil {
 		return err
 	}
@@ -142,11 +143,14 @@
 			Message: fmt.Sprintf("the customer's idempotency keys are kept in region %s; this entry is in %s", sc.customer.HomeRegion, s.region),
 		}
 	}
-	sum := sha256.Sum256(sc.body)
+	sum := sha256.New()
+	if _, err := io.Copy(sum, sc.body.Reader()); err != nil {
+		return err
+	}
 	attempt := &savoryclaim.Attempt{
 		Identity: savoryclaim.Identity{
 			Customer: sc.customer.Name, Route: sc.route.Name, Method: sc.method, Target: sc.target,
-			BodySHA256: hex.EncodeToString(sum[:]),
+			BodySHA256: hex.EncodeToString(sum.Sum(nil)),
 		},
 		Entry: s.entry, Nonce: newRequestID(), MaxCreateTries: maxClaimTries,
 		ForwardWithoutStore: sc.route.WhenStoreOut == savoryworld.OutageForward,
@@ -316,14 +320,14 @@
 func (s *serviceRunner) request(ctx context.Context, sc *serviceCall, server *savoryworld.BackendServer) (*http.Request, error) {
 	// The body is never nil and has no GetBody: otherwise http.Transport
 	// resends some requests by itself.
-	body := onceBody{bytes.NewReader(sc.body)}
+	body := onceBody{sc.body.Reader()}
 	req, err := http.NewRequestWithContext(ctx, sc.method, "http://"+server.Address.String()+sc.target, body)
 	if err != nil {
 		return nil, err
 	}
 	req.Header = sc.header.Clone()
-	if len(sc.body) > 0 {
-		req.ContentLength = int64(len(sc.body))
+	if sc.body.Len() > 0 {
+		req.ContentLength = sc.body.Len()
 	}
 	return req, nil
 }
--- a/savoryentry/savorynode/settings.go
+++ b/savoryentry/savorynode/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryintake"
 	"savorycart.example/savorycore/savorytls"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -29,6 +30,15 @@
 	Platform  PlatformSettings
 	Stop      StopSettings
 	Orders    OrderSettings
+	Limits    LimitSettings
+}
+
+// LimitSettings holds the limits of the VM; 0 if not stated.
+type LimitSettings struct {
+	// MemoryMB is the memory that the process may use, MaxDescriptors the number
+	// of files and connections that it may open.
+	MemoryMB       int
+	MaxDescriptors int
 }
 
 // ListenerSettings holds the settings of one listener.
@@ -41,7 +51,8 @@
 type CallerSettings struct {
 	Address netip.AddrPort
 	TLS     savorytls.Files
-	// MaxConnections bounds the open connections.
+	// MaxConnections bounds the open connections. Fewer are accepted if memory
+	// and descriptors do not suffice.
 	MaxConnections int
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
@@ -96,12 +107,15 @@
 	LeaseTime savoryworld.Duration
 }
 
+// defaultMaxConnections is the bound on connections on a VM that supports as many.
+const defaultMaxConnections = 4096
+
 // DefaultSettings returns the defaults of the settings that a file may omit.
 func DefaultSettings() *Settings {
 	return &Settings{
 		LogLevel: "info",
 		Callers: CallerSettings{
-			MaxConnections: 4096,
+			MaxConnections: defaultMaxConnections,
 			MaxBodyBytes:   1 << 20,
 			MaxHeaderBytes: 16 << 10,
 			HeaderTimeout:  savoryworld.Duration(5 * time.Second),
@@ -157,6 +171,8 @@
 		{s.Callers.HeaderTimeout > 0, "Callers.HeaderTimeout", "is not above 0"},
 		{s.Callers.BodyTimeout > 0, "Callers.BodyTimeout", "is not above 0"},
 		{s.Callers.WriteTimeout > 0, "Callers.WriteTimeout", "is not above 0"},
+		{s.Limits.MemoryMB >= 0, "Limits.MemoryMB", "is below 0"},
+		{s.Limits.MaxDescriptors >= 0, "Limits.MaxDescriptors", "is below 0"},
 		{s.Stop.Limit > 0, "Stop.Limit", "is not above 0"},
 		{s.Orders.MaxLoading > 0, "Orders.MaxLoading", "is not above 0"},
 		{s.Orders.LeaseTime.AsDuration() >= time.Second, "Orders.LeaseTime", "is below 1s"},
@@ -175,5 +191,36 @@
 			return &savoryconfig.InputError{Field: "Admin.BootstrapTokenSHA256", Message: "is not a SHA-256 digest in hex"}
 		}
 	}
+	return s.checkMemory()
+}
+
+// MemoryBytes returns the memory that the process may use, or 0.
+func (s *Settings) MemoryBytes() int64 { return int64(s.Limits.MemoryMB) << 20 }
+
+// bounds returns the bounds on what is held for callers.
+func (s *Settings) bounds() savoryintake.Bounds {
+	b := s.vmLimits().Bounds()
+	b.Connections = min(b.Connections, s.Callers.MaxConnections)
+	return b
+}
+
+func (s *Settings) vmLimits() savoryintake.Limits {
+	return savoryintake.Limits{MemoryBytes: s.MemoryBytes(), Descriptors: s.Limits.MaxDescriptors, MaxBodyBytes: s.Callers.MaxBodyBytes}
+}
+
+// checkMemory returns the first setting that the stated memory and descriptors
+// do not support, or nil.
+func (s *Settings) checkMemory() *savoryconfig.InputError {
+	if s.Limits == (LimitSettings{}) {
+		return nil
+	}
+	limits := s.vmLimits()
+	if field, err := limits.Check("Limits.MemoryMB", "Limits.MaxDescriptors", "Callers.MaxBodyBytes"); err != nil {
+		return &savoryconfig.InputError{Field: field, Message: err.Error()}
+	}
+	supported := limits.Bounds().Connections
+	if n := s.Callers.MaxConnections; n > supported && n != defaultMaxConnections {
+		return &savoryconfig.InputError{Field: "Callers.MaxConnections", Message: fmt.Sprintf("%d are more than the %d that memory and descriptors support", n, supported)}
+	}
 	return nil
 }
