savoryfront: set the deadline of a connection and its giving way under one lock

The server may set the deadline of a new connection at the same time as the connection gives way, and so replace it; the connection then stayed open until the head's time-out. TestQuietConnectionsGiveWay passes with and without the change: the window is too short for it.

--- a/savoryentry/savoryfront/body_test.go
+++ b/savoryentry/savoryfront/body_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 		_, _ = io.Copy(w, body.Reader())
 	}))
 	s.Listener = f.Callers(s.Listener)
+	s.Config.ReadHeaderTimeout = time.Hour
 	s.Config.ConnState, s.Config.ConnContext = ConnState, ConnContext
 	s.Start()
 	t.Cleanup(s.Close)
@@ -104,3 +106,25 @@
 	}
 	is.True(gaveWay > 0)
 }
+
+// Guards against connections that gave way but stay open, because the server sets their deadline
+// at the same time: they would keep later callers out.
+func TestQuietConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	f, s := start(t, savoryintake.Bounds{BudgetBytes: 1 << 20, Connections: 16}, 1<<10)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 500 {
+				if conn, err := net.Dial("tcp", s.Listener.Addr().String()); err == nil {
+					t.Cleanup(func() { _ = conn.Close() })
+				}
+			}
+		})
+	}
+	wg.Wait()
+	resp, err := http.Post(s.URL, "", strings.NewReader("x"))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(f.TakeCounts()[Connections], 0) // each of them found room
+}
--- a/savoryentry/savoryfront/listener.go
+++ b/savoryentry/savoryfront/listener.go
@@ -179,9 +179,9 @@
 	l.closing++
 	l.front.Refused(QuietConnection)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.closing = true
-	c.mu.Unlock()
-	_ = c.SetReadDeadline(time.Now()) // If it fails, the connection is closed.
+	_ = c.Conn.SetReadDeadline(time.Now()) // If it fails, the connection is closed.
 }
 
 // set records that a request is served on a connection, or ended.
@@ -195,8 +195,8 @@
 	if state.Closing && serving {
 		c.mu.Lock()
 		c.closing = false
-		c.mu.Unlock()
 		_ = c.Conn.SetReadDeadline(time.Time{}) // If it fails, the connection is closed.
+		c.mu.Unlock()
 		state.Closing = false
 		l.closing--
 	}
@@ -316,12 +316,14 @@
 // SetReadDeadline sets the deadline. While a head is read it is not later than the deployment's
 // own limit, and once the connection gave way it is over.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	limit := c.headerTimeout()
+	// The deadline is set under the lock, so that it does not replace that of a connection that
+	// gives way at the same time.
 	c.mu.Lock()
-	inHead, waits := c.inHead && c.headBytes > 0, c.closing
-	c.mu.Unlock()
-	if waits {
+	defer c.mu.Unlock()
+	if c.closing {
 		t = time.Now()
-	} else if limit := c.headerTimeout(); inHead && !t.IsZero() && limit > 0 {
+	} else if c.inHead && c.headBytes > 0 && !t.IsZero() && limit > 0 {
 		if end := time.Now().Add(limit); end.Before(t) {
 			t = end
 		}
