--- a/savoryentry/savorygate/pace.go
+++ b/savoryentry/savorygate/pace.go
@@ -202,7 +202,7 @@
 		return
 	}
 	now := c.g.now()
-	c.g.view.recordPace(savorypace.Answer{Service: c.service.Name, Kind: c.route.Name, Size: len(c.body), Took: now.Sub(sentAt)}, []string{server}, now)
+	c.g.view.recordPace(savorypace.Answer{Service: c.service.Name, Kind: c.route.Name, Size: int(c.body.Len()), Took: now.Sub(sentAt)}, []string{server}, now)
 }
 
 // recordPace records the first event of the attempt. Continued streams are compared among
