--- a/savorycore/savoryroster/roster.go
+++ b/savorycore/savoryroster/roster.go
@@ -145,6 +145,8 @@
 	lastReadAt  time.Time
 	recoveredAt time.Time
 	readFailed  bool
+	// available are the results of Available by service, until a server changes.
+	available map[string][]Server
 }
 
 type listedServer struct {
@@ -195,6 +197,7 @@
 	}
 	r.readFailed = false
 	r.position = l.Position()
+	r.available = nil
 	if readAt.After(r.lastReadAt) {
 		r.lastReadAt = readAt
 	}
@@ -272,6 +275,7 @@
 func (r *Roster) ReportReceived(id string, born time.Time, orders int64, holds savoryworld.LayerRange, busy bool) {
 	if e := r.servers[id]; e != nil && e.Born.Equal(born) {
 		e.Holds, e.Busy, e.Orders, e.ReportedBeat = holds, busy, orders, e.Beat
+		r.available = nil
 	}
 }
 
@@ -296,6 +300,7 @@
 func (r *Roster) MarkLeaving(id string) {
 	if e := r.servers[id]; e != nil {
 		e.Leaving = true
+		r.available = nil
 	}
 }
 
@@ -327,9 +332,18 @@
 	return all
 }
 
-// Available returns the servers of a service that may get new work, sorted by ID.
+// Available returns the servers of a service that may get new work, sorted by ID. The caller may
+// change the result. Each choice of a server calls it, so it must not sort the whole list.
 func (r *Roster) Available(service string) []Server {
-	return slices.DeleteFunc(r.All(), func(s Server) bool { return s.Service != service || s.Leaving })
+	if r.available == nil {
+		r.available = make(map[string][]Server)
+		for _, s := range r.All() {
+			if !s.Leaving {
+				r.available[s.Service] = append(r.available[s.Service], s)
+			}
+		}
+	}
+	return slices.Clone(r.available[service])
 }
 
 // Listing returns the current state as a listing for a peer.
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -4,12 +4,14 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -192,3 +194,56 @@
 	h.RecordFailure("a", begin.Add(5*time.Second))
 	is.True(h.Failing("a", begin.Add(5*time.Second)))
 }
+
+// Guards against a list of a service that is older than the last change of a server: a leaving
+// engine, or one without its layers, would get requests.
+func TestAvailableFollowsChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Roster
+		id := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		for revision := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				r.MarkLeaving(id.Draw(t, "id"))
+			case 1:
+				r.ReportReceived(id.Draw(t, "id"), begin, int64(revision), savoryworld.LayerRange{To: revision + 1}, false)
+			default:
+				l := &Listing{Revision: int64(revision)}
+				for _, server := range rapid.SliceOfNDistinct(id, 0, 4, rapid.ID[string]).Draw(t, "listed") {
+					service := "even"
+					if server == "b" || server == "d" {
+						service = "odd"
+					}
+					l.Servers = append(l.Servers, Server{ID: server, Service: service, Born: begin, Beat: int64(revision)})
+				}
+				r.Apply(l, begin, begin)
+			}
+			for _, service := range []string{"even", "odd"} {
+				want := slices.DeleteFunc(r.All(), func(s Server) bool { return s.Service != service || s.Leaving })
+				if got := r.Available(service); !slices.Equal(got, want) {
+					t.Fatalf("service %s: %v, want %v", service, got, want)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkAvailable is the list of a plain service in a fleet of 7,200 servers.
+func BenchmarkAvailable(b *testing.B) {
+	var r Roster
+	l := &Listing{Revision: 1}
+	for i := range 7200 {
+		service := "model"
+		if i%2400 == 0 {
+			service = "plain"
+		}
+		l.Servers = append(l.Servers, Server{ID: strconv.Itoa(i), Service: service, Born: begin})
+	}
+	r.Apply(l, begin, begin)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(r.Available("plain")) != 3 {
+			b.Fatal("wrong number of servers")
+		}
+	}
+}
