savorypeer, savorygate: the age of a list that was never read does not overflow

Cause: an entry that has only the stored copy of the list states the largest duration as its age; with the delay of the message it overflowed, and the receiver's list seemed to be read 292 years from now. It then never read the list itself and took expired registrations for servers that are gone. Ruled out: an undated listing that ends the state "reading failed" (still red with that mended). Change: ages are bounded by MaxAge before a delay is added; a list of that age is not taken over or confirmed.

--- a/savorycore/savorypeer/sync.go
+++ b/savorycore/savorypeer/sync.go
@@ -24,7 +24,8 @@
 	// Config is the version of the configuration in force; 0 means none.
 	Config int64
 	// ListRevision and ListPrint are the revision and the fingerprint of the list
-	// of servers. ListAge is the time since the list was read from the store.
+	// of servers. ListAge is the time since the list was read from the store; MaxAge or more
+	// means that it has not been read, but comes from a copy.
 	ListRevision int64
 	ListPrint    uint64
 	// ListEra is the era of the store in which the list was read, StoreEra the
@@ -177,10 +178,15 @@
 	return nil
 }
 
+// MaxAge is the age from which on readings of the store do not count. Ages are bounded by it,
+// because the age of what was never read overflows when a delay is added: such a list looked
+// as if it had been read in the future, and never aged.
+const MaxAge = 24 * time.Hour
+
 // Delay adds d, the time since the state was made, to its ages.
 func (n *SyncState) Delay(d time.Duration) {
-	n.Known.ListAge += d
-	n.Known.ConfigAge += d
+	n.Known.ListAge = min(MaxAge, n.Known.ListAge) + d
+	n.Known.ConfigAge = min(MaxAge, n.Known.ConfigAge) + d
 	for i := range n.Faults {
 		n.Faults[i].Age += d
 	}
--- a/savoryentry/savorygate/age_test.go
+++ b/savoryentry/savorygate/age_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"testing"
@@ -148,3 +149,37 @@
 		})
 	}
 }
+
+// Guards against the list of a peer that has read none since its start, but has the copy of the
+// store: the age of such a list overflowed with the delay of the message, so that the list of its
+// receiver seemed to be read in the future. The receiver then never read the list itself, and took
+// registrations that had expired in an outage for servers that are gone.
+func TestCopiedListIsNoReading(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	copied := &savoryroster.Listing{Revision: 8, Servers: []savoryroster.Server{{ID: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Born: now}}}
+	gates := make([]*Gate, 2)
+	for i := range gates {
+		gates[i] = newPreparedGate(t, &Settings{Zone: "a", Peers: netip.MustParseAddrPort(fmt.Sprint("127.0.0.1:", 7001+i))})
+	}
+	gates[0].view.applySnapshot(copied, now, gates[0].config())
+	exchange := func() {
+		state := gates[0].syncState(gates[1].relay.self, &savorypeer.Versions{})
+		is.NoErr(state.Check())
+		gates[1].applySyncState(state, time.Time{})
+		state = gates[1].syncState(gates[0].relay.self, &state.Known)
+		is.NoErr(state.Check())
+		gates[0].applySyncState(state, now)
+	}
+	for range 3 {
+		exchange()
+	}
+	gates[1].view.applySnapshot(copied, now, gates[1].config())
+	for range 3 {
+		exchange()
+	}
+	for _, g := range gates {
+		is.Equal(g.view.hasList(), false)
+		is.True(g.listAge() >= time.Hour)
+	}
+}
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -204,6 +204,10 @@
 // applyPeerList applies the list of servers in a dated state, or its confirmation. It reports
 // whether a server changed.
 func (g *Gate) applyPeerList(s *savorypeer.SyncState, now time.Time) bool {
+	if s.Known.ListAge >= savorypeer.MaxAge {
+		// The peer has its list from the copy in the store, which this entry loads itself.
+		return false
+	}
 	if s.Listing != nil {
 		return g.applyList(s.Listing, reading{id: s.Known.ListReading, at: now.Add(-s.Known.ListAge)}, "peer")
 	}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -409,7 +409,7 @@
 	defer v.mu.Unlock()
 	v.refreshPeerList()
 	return v.peerList, savorypeer.Versions{
-		ListEra: v.peerList.Era, ListRevision: v.peerList.Revision, ListPrint: v.fingerprint, ListAge: max(0, now.Sub(v.roster.ReadAt())), ListReading: v.newestReading,
+		ListEra: v.peerList.Era, ListRevision: v.peerList.Revision, ListPrint: v.fingerprint, ListAge: min(savorypeer.MaxAge, max(0, now.Sub(v.roster.ReadAt()))), ListReading: v.newestReading,
 	}
 }
 
