savoryrouting, savorygate: the most urgent route of a service is looked up

The send time of an attempt also hid the one of its request by the same name. Change: NewTable keeps the most urgent route of each service; attempt.attemptSentAt. TestUrgentRequestsWaitLonger builds its table with NewTable, which it had left out; its bounds are the same. Result: TestMostUrgent; tests and linter pass. No change of behaviour.

--- a/savorycore/savoryrouting/table.go
+++ b/savorycore/savoryrouting/table.go
@@ -20,14 +20,24 @@
 	// key to its customer.
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
+	// urgency maps a service to the priorities of its routes.
+	urgency map[string]urgency
+}
+
+// urgency is the most urgent route of a service, and whether its routes have different
+// priorities.
+type urgency struct {
+	first  *Route
+	ranked bool
 }
 
 // NewTable indexes a configuration that Check accepted.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, byHost: make(map[string][]*Route), byKey: make(map[string]*Customer)}
+	t := &Table{Config: c, byHost: make(map[string][]*Route), byKey: make(map[string]*Customer), urgency: make(map[string]urgency)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		t.addUrgency(r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -40,6 +50,28 @@
 	return t
 }
 
+// addUrgency adds a route to the priorities of its services.
+func (t *Table) addUrgency(r *Route) {
+	for _, share := range r.Shares {
+		u := t.urgency[share.Service]
+		if u.first == nil {
+			u.first = r
+		}
+		u.ranked = u.ranked || r.Priority != u.first.Priority
+		if r.Priority < u.first.Priority {
+			u.first = r
+		}
+		t.urgency[share.Service] = u
+	}
+}
+
+// MostUrgent returns the most urgent route of a service, and whether the routes of the service
+// have different priorities. The route is nil if there is none.
+func (t *Table) MostUrgent(service string) (first *Route, ranked bool) {
+	u := t.urgency[service]
+	return u.first, u.ranked
+}
+
 // Match returns the route of the host with the longest prefix of path, or nil. A
 // port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/savorycore/savoryrouting/table_test.go
+++ b/savorycore/savoryrouting/table_test.go
@@ -122,3 +122,24 @@
 	is.True(!(&Route{Kind: Streaming}).Repeatable())
 	is.True((&Route{Kind: Streaming, Resumable: true}).Repeatable())
 }
+
+// Guards against less urgent requests that leave no room for more urgent ones, and against a
+// service whose routes are equally urgent that is treated as if they were not.
+func TestMostUrgent(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(&Config{Routes: []Route{
+		{Name: "b", Priority: 2, Shares: []Share{{Service: "s"}, {Service: "other"}}},
+		{Name: "a", Priority: 1, Shares: []Share{{Service: "s"}}},
+		{Name: "c", Priority: 2, Shares: []Share{{Service: "s"}}},
+	}})
+	for service, want := range map[string]struct {
+		first  string
+		ranked bool
+	}{"s": {"a", true}, "other": {"b", false}} {
+		first, ranked := table.MostUrgent(service)
+		is.Equal(first.Name, want.first)
+		is.Equal(ranked, want.ranked)
+	}
+	first, ranked := table.MostUrgent("none")
+	is.True(first == nil && !ranked)
+}
--- a/savoryentry/savorygate/admission.go
+++ b/savoryentry/savorygate/admission.go
@@ -5,18 +5,16 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"savorycart.example/savorycore/savoryadmission"
 	"savorycart.example/savorycore/savorypath"
-	"savorycart.example/savorycore/savoryrouting"
 )
 
 // headroom returns the fraction of each engine's memory that the stream must leave free for
 // more urgent ones.
 func (s *stream) headroom() float64 {
-	first, ranked := s.mostUrgentRoute()
+	first, ranked := s.table.MostUrgent(s.service.Name)
 	if !ranked {
 		return 0
 	}
@@ -29,7 +27,7 @@
 	if !errors.Is(err, savorypath.ErrFull) || now.Sub(s.startedAt) >= savoryadmission.Wait(s.route.Objective) {
 		return false
 	}
-	_, ranked := s.mostUrgentRoute()
+	_, ranked := s.table.MostUrgent(s.service.Name)
 	return ranked
 }
 
@@ -39,25 +37,3 @@
 		s.g.metrics.memoryWaits.WithLabelValues(outcome).Inc()
 	}
 }
-
-// mostUrgentRoute returns the most urgent route of the stream's service, and whether the
-// routes of the service have different priorities.
-func (s *stream) mostUrgentRoute() (first *savoryrouting.Route, ranked bool) {
-	routes := s.table.Config.Routes
-	for i := range routes {
-		r := &routes[i]
-		if !slices.ContainsFunc(r.Shares, func(share savoryrouting.Share) bool { return share.Service == s.service.Name }) {
-			continue
-		}
-		switch {
-		case first == nil:
-			first = r
-		case r.Priority != first.Priority:
-			ranked = true
-			if r.Priority < first.Priority {
-				first = r
-			}
-		}
-	}
-	return first, ranked
-}
--- a/savoryentry/savorygate/notice.go
+++ b/savoryentry/savorygate/notice.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -204,14 +203,10 @@
 // its service, 0 if it is not.
 func (c *call) priorityRank() int {
 	own := savoryrouting.Priority(c.route, c.customer)
-	first := own
-	for i := range c.table.Config.Routes {
-		r := &c.table.Config.Routes[i]
-		if slices.ContainsFunc(r.Shares, func(s savoryrouting.Share) bool { return s.Service == c.service.Name }) {
-			first = min(first, r.Priority)
-		}
+	if first, _ := c.table.MostUrgent(c.service.Name); first != nil {
+		return max(0, own-first.Priority)
 	}
-	return own - first
+	return 0
 }
 
 // awaitTurn waits until the server takes the request. It reports whether the request may be
--- a/savoryentry/savorygate/notice_test.go
+++ b/savoryentry/savorygate/notice_test.go
@@ -46,7 +46,7 @@
 		route := cfg.Routes[c.route]
 		route.Objective = c.objective
 		call := &call{
-			g: new(Gate), table: &savoryrouting.Table{Config: cfg}, route: &route, service: &savoryrouting.Service{Name: "s"}, customer: c.customer,
+			g: new(Gate), table: savoryrouting.NewTable(cfg), route: &route, service: &savoryrouting.Service{Name: "s"}, customer: c.customer,
 			deadline: time.Now().Add(c.deadline),
 		}
 		is.True(call.maxDelay() <= c.want)
--- a/savoryentry/savorygate/pace.go
+++ b/savoryentry/savorygate/pace.go
@@ -216,7 +216,7 @@
 	for _, h := range a.watch.currentChain() {
 		servers = append(servers, h.Server)
 	}
-	a.g.view.recordPace(savorypace.Answer{Service: a.service.Name, Kind: kind, Size: a.tokens, Took: now.Sub(a.sentAt)}, servers, now)
+	a.g.view.recordPace(savorypace.Answer{Service: a.service.Name, Kind: kind, Size: a.tokens, Took: now.Sub(a.attemptSentAt)}, servers, now)
 }
 
 // loadsForPeers returns this entry's requests in flight at engines and the pace that it reports.
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -403,11 +403,11 @@
 	complete bool
 	// attemptEvents is the number of events of this attempt.
 	attemptEvents int
-	// sentAt is when the request was sent.
-	sentAt  time.Time
-	err     error
-	verdict savoryverdict.Verdict
-	watch   *stallWatch
+	// attemptSentAt is when the request was sent to the chain.
+	attemptSentAt time.Time
+	err           error
+	verdict       savoryverdict.Verdict
+	watch         *stallWatch
 }
 
 // mayPassRefusal reports whether there is an error response of the server that may be passed
@@ -445,7 +445,7 @@
 	a.events.nextServer()
 	a.g.recordSend(a.service.Name, a.countSend())
 	sentAt := a.g.now()
-	a.sentAt = sentAt
+	a.attemptSentAt = sentAt
 	a.recordSent(sentAt)
 	a.recordGapCause(gapResent)
 	response, err := a.g.serverClient.Do(ctx, first.Address, req)
