savorygate: log which reading confirmed a denial, and that the VM was suspended

Cause: the line of a denied request did not tell a reading that was older than it seemed from a request that was matched against an older table, and a suspended VM left no trace: delays were measured by the clock that stood still. Change: request ended states the version in force and the reading that was trusted, configuration read (debug) names the readings; timer fired late counts by CLOCK_BOOTTIME and states the suspension. No decision changed. Result: go test ./savoryentry/savorygate passes.

--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,7 +40,16 @@
 }
 
 // confirmOwnReading is confirmConfig for a reading by this entry.
-func (g *Gate) confirmOwnReading(at time.Time) { g.confirmConfig(rand.Uint64N(1<<63)+1, at) }
+func (g *Gate) confirmOwnReading(at time.Time) {
+	id := rand.Uint64N(1<<63) + 1
+	g.confirmConfig(id, at)
+	g.Log.WithFields(log.Fields{
+		"reading": readingName(id), "revision": g.configPosition.Revision, "inForce": g.configVersion(), "tookMs": g.now().Sub(at).Milliseconds(),
+	}).Debug("configuration read")
+}
+
+// readingName returns the ID of a reading as it is logged.
+func readingName(id uint64) string { return strconv.FormatUint(id, 36) }
 
 // configReading returns the last reading that confirmed the configuration, and its age.
 func (g *Gate) configReading(now time.Time) (reading uint64, age time.Duration) {
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -425,8 +425,10 @@
 		"outcome": outcome, "status": status, "sends": c.sends, "mayHaveRun": c.mayHaveRun, "tookMs": c.g.now().Sub(c.startedAt).Milliseconds(),
 	})
 	if c.table != nil {
-		_, age := c.g.configReading(c.g.now())
-		logger = logger.WithFields(log.Fields{"version": c.table.Config.Version, "configAgeMs": age.Milliseconds()})
+		reading, age := c.g.configReading(c.g.now())
+		logger = logger.WithFields(log.Fields{
+			"version": c.table.Config.Version, "inForce": c.g.configVersion(), "configAgeMs": age.Milliseconds(), "reading": readingName(reading),
+		})
 	}
 	if c.route != nil {
 		logger = logger.WithField("route", c.route.Name)
--- a/savoryentry/savorygate/delay_test.go
+++ b/savoryentry/savorygate/delay_test.go
@@ -18,11 +18,12 @@
 	logger, err := savorylog.New(&out, "info")
 	is.NoErr(err)
 	g := &Gate{Log: logger, metrics: newMetrics(func() int64 { return 0 })}
-	g.recordTimerDelay(minLoggedDelay-time.Millisecond, 0, 0)
+	g.recordTimerDelay(minLoggedDelay-time.Millisecond, 0, 0, 0)
 	is.Equal(out.Len(), 0)
 	g.exchanges.answered.Add(30)
-	g.recordTimerDelay(minLoggedDelay, 0, 10)
+	g.recordTimerDelay(minLoggedDelay, 400*time.Millisecond, 0, 10)
 	is.True(strings.Contains(out.String(), "delayMs=500"))
+	is.True(strings.Contains(out.String(), "suspendedMs=400"))
 	is.True(strings.Contains(out.String(), "answered=20"))
 }
 
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -58,6 +58,9 @@
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// LogDropped returns the number of dropped log lines.
 	LogDropped func() int64
+	// SinceBoot returns the time since the VM started, including that for which it was
+	// suspended; nil uses the kernel's clock.
+	SinceBoot func() time.Duration
 
 	settings   atomic.Pointer[Settings]
 	tomb       tomb.Tomb
@@ -181,6 +184,7 @@
 
 // prepare makes the state that needs the settings.
 func (g *Gate) prepare(s *Settings) {
+	g.prepareClock()
 	g.startedAt = g.now()
 	g.metrics = newMetrics(g.LogDropped)
 	g.prepareIntake()
@@ -327,11 +331,11 @@
 // budgets and the metrics of the servers.
 func (g *Gate) sweep() error {
 	for g.alive() {
-		setAt, called, answered := g.now(), g.exchanges.called.Load(), g.exchanges.answered.Load()
+		setAt, bootSetAt, called, answered := g.now(), g.bootNow(), g.exchanges.called.Load(), g.exchanges.answered.Load()
 		g.sleep(sweepInterval)
-		now := g.now()
+		now, took := g.now(), g.bootNow().Sub(bootSetAt)
 		if g.alive() {
-			g.recordTimerDelay(now.Sub(setAt)-sweepInterval, called, answered)
+			g.recordTimerDelay(took-sweepInterval, took-now.Sub(setAt), called, answered)
 		}
 		g.serverClient.CloseExpired(now)
 		g.view.expireSlowdowns(now, g.config())
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -115,15 +115,15 @@
 // may take, so that peers begin to miss this entry's responses.
 const minLoggedDelay = syncTimeout
 
-// recordTimerDelay records how late a timer fired. called and answered are the counts of
-// exchanges when it was set.
-func (g *Gate) recordTimerDelay(delay time.Duration, called, answered int64) {
+// recordTimerDelay records how late a timer fired, and for how long of that the VM was
+// suspended. called and answered are the counts of exchanges when it was set.
+func (g *Gate) recordTimerDelay(delay, suspended time.Duration, called, answered int64) {
 	g.metrics.timerDelay.Observe(max(0, delay).Seconds())
 	if delay < minLoggedDelay {
 		return
 	}
 	g.Log.WithFields(log.Fields{
-		"delayMs": delay.Milliseconds(), "called": g.exchanges.called.Load() - called, "answered": g.exchanges.answered.Load() - answered,
+		"delayMs": delay.Milliseconds(), "suspendedMs": suspended.Milliseconds(), "called": g.exchanges.called.Load() - called, "answered": g.exchanges.answered.Load() - answered,
 		"requests": g.inFlight.Load(), "orderer": g.ordering.Load(),
 	}).Warn("timer fired late: the process was paused, or waits for its processor")
 }
