--- /dev/null
+++ b/savoryentry/savorygate/behind_test.go
@@ -0,0 +1,172 @@
+package savorygate
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryrouting"
+)
+
+// newCall returns a call for a path that has selected nothing yet.
+func newCall(g *Gate, path string) *call {
+	r := httptest.NewRequest(http.MethodGet, "http://shop.example"+path, nil)
+	r.RequestURI = path
+	return &call{g: g, r: r, startedAt: g.now(), table: g.table.Load()}
+}
+
+// versionWith returns a version of a configuration with a route for each prefix.
+func versionWith(version int64, prefixes ...string) *savoryrouting.Config {
+	cfg := &savoryrouting.Config{Version: version, Services: []savoryrouting.Service{{Name: "s"}}}
+	for _, p := range prefixes {
+		cfg.Routes = append(cfg.Routes, savoryrouting.Route{Name: p, Host: "shop.example", Prefix: p, Timeout: time.Second})
+	}
+	return cfg
+}
+
+// Pattern: versions come into force right after each other while requests are being routed.
+// Guards against a request that is matched against one version and denied by what is known of a
+// later one, which has its route.
+func TestDenialIsByVersionInForce(t *testing.T) {
+	tests := []struct {
+		name string
+		// heard is the newest version that peers state before the request is routed, 0 for none.
+		heard int64
+		// first comes into force after the request was read; later ones follow in steps.
+		first  int64
+		later  []int64
+		step   time.Duration
+		denied string
+	}{
+		{name: "in force after the request was read", first: 14},
+		{name: "two at once", heard: 14, first: 12, later: []int64{14}, step: 30 * time.Millisecond},
+		{name: "two, one after another", heard: 14, first: 3, later: []int64{12, 14}, step: 60 * time.Millisecond},
+		{name: "the newest is too late", heard: 14, first: 12, denied: "ConfigurationBehind"},
+		{name: "no newer one", first: 12, denied: "NoRoute"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newPreparedGate(t, &Settings{Zone: "a", Peers: netip.MustParseAddrPort("127.0.0.1:1"), ConfigTime: 3 * time.Second})
+			force := func(version int64) {
+				cfg := versionWith(version)
+				if version >= 14 {
+					cfg = versionWith(version, "/new/")
+				}
+				g.setConfig(cfg, "test")
+			}
+			g.confirmOwnReading(g.now())
+			c := newCall(g, "/new/")
+			if tt.heard > 0 {
+				g.hearConfig(tt.heard, "test")
+			}
+			force(tt.first)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for _, v := range tt.later {
+					time.Sleep(tt.step)
+					force(v)
+				}
+			}()
+			err := c.selectRoute()
+			<-done
+			if tt.denied != "" {
+				is.True(err != nil)
+				is.Equal(err.Code, tt.denied)
+				return
+			}
+			is.Equal(err, nil)
+			is.Equal(c.route.Name, "/new/")
+			is.Equal(c.table.Config.Version, int64(14))
+		})
+	}
+}
+
+// suspendable is a gate whose VM can be suspended: the time since boot goes on, the clock of
+// package time does not.
+type suspendable struct {
+	*Gate
+	suspended time.Duration
+}
+
+func newSuspendable(t *testing.T, address string) *suspendable {
+	t.Helper()
+	g := newPreparedGate(t, &Settings{Zone: "a", Peers: netip.MustParseAddrPort(address), ConfigTime: 3 * time.Second})
+	s := &suspendable{Gate: g}
+	running := g.SinceBoot
+	g.SinceBoot = func() time.Duration { return running() + s.suspended }
+	return s
+}
+
+// exchange sends the state of an entry to another one and its answer back. before is called
+// between the two.
+func (s *suspendable) exchange(t *testing.T, with *suspendable, before func()) {
+	t.Helper()
+	is := is.New(t)
+	request := s.syncState(with.relay.self, &savorypeer.Versions{FetchesConfig: true})
+	is.NoErr(request.Check())
+	requestedAt := s.now()
+	response, err := with.handleSync(t.Context(), request)
+	is.NoErr(err)
+	before()
+	is.NoErr(response.Check())
+	s.applySyncState(response, requestedAt)
+}
+
+// Pattern: a VM is suspended for seconds, and tells a peer what it knows as soon as it is back.
+// Guards against a configuration that counts as confirmed by a reading from before the
+// suspension: the peer, which was not suspended, would deny routes that were added meanwhile.
+func TestSuspensionCountsAsAge(t *testing.T) {
+	const suspension = 5 * time.Second
+	nothing := func() {}
+	tests := []struct {
+		name string
+		// play suspends the VM of one entry, which has a reading, and lets it tell the other.
+		play func(t *testing.T, sleeper, peer *suspendable)
+	}{
+		{"peer asks after it", func(t *testing.T, sleeper, peer *suspendable) {
+			sleeper.confirmOwnReading(sleeper.now())
+			sleeper.suspended += suspension
+			peer.exchange(t, sleeper, nothing)
+		}},
+		{"sleeper asks after it", func(t *testing.T, sleeper, peer *suspendable) {
+			sleeper.confirmOwnReading(sleeper.now())
+			sleeper.suspended += suspension
+			sleeper.exchange(t, peer, nothing)
+		}},
+		{"while an answer is on its way to it", func(t *testing.T, sleeper, peer *suspendable) {
+			peer.confirmOwnReading(peer.now())
+			sleeper.exchange(t, peer, func() { sleeper.suspended += suspension })
+			peer.suspended += suspension // time goes on for the peer
+			third := newSuspendable(t, "127.0.0.1:3")
+			third.relay.addEntries([]savorypeer.Entry{sleeper.relay.self}, third.now())
+			third.exchange(t, sleeper, nothing)
+			if doubt := third.configDoubt(third.now()); doubt == "" {
+				t.Error("a third entry does not doubt")
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sleeper, peer := newSuspendable(t, "127.0.0.1:1"), newSuspendable(t, "127.0.0.1:2")
+			sleeper.relay.addEntries([]savorypeer.Entry{peer.relay.self}, sleeper.now())
+			peer.relay.addEntries([]savorypeer.Entry{sleeper.relay.self}, peer.now())
+			for range 2 { // they know each other
+				sleeper.exchange(t, peer, nothing)
+				peer.exchange(t, sleeper, nothing)
+			}
+			tt.play(t, sleeper, peer)
+			for _, g := range []*suspendable{sleeper, peer} {
+				if doubt := g.configDoubt(g.now()); doubt == "" {
+					t.Errorf("%s does not doubt", g.relay.self.Address)
+				}
+			}
+		})
+	}
+}
