savorygate: a denial is by a table that is as new as what it is judged by

Callers: a 404 for a route that is in force at the very entry, or 503 while its version arrives. Cause: match used the table that was in force when the request was read, doubtful the tracker of later versions; a version that came into force between them made the doubt about it vanish. A request that waited for a newer version went on at the first one, though a newer one was known. Change: the doubt is read first, then the table, and the request is matched again if that is another one; it waits until the newest known version is in force. Ruled out: that this is the record's fault. It explains one 404 as a version comes into force, not two that are 1.5 s apart.

--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -75,38 +75,39 @@
 }
 
 // selectRoute selects the route and the customer of the request. If the configuration lacks one
-// of them and a newer one is known to exist, it waits for that.
+// of them and a newer one is known to exist, it waits for the newest.
 func (c *call) selectRoute() *savoryverdict.Error {
 	err := c.match()
-	if err != nil && c.g.configDoubt(c.startedAt) == savorynews.Behind && c.awaitNewerTable() {
-		err = c.match()
-	}
-	return c.doubtful(err)
-}
-
-// doubtful returns the error of match, or the refusal instead if the configuration may be out of
-// date.
-func (c *call) doubtful(err *savoryverdict.Error) *savoryverdict.Error {
 	if err == nil {
 		return nil
 	}
+	var doubt savorynews.Doubt
+	c.g.awaitState(c.r.Context(), c.caller.Deadline, func() bool {
+		err, doubt = c.matchAgain(err)
+		return err == nil || doubt != savorynews.Behind
+	})
+	return refuseInDoubt(err, doubt)
+}
+
+// matchAgain repeats match, which returned err, if another table is in force by now. It returns the
+// doubt about a version that is not newer than the table which was matched.
+func (c *call) matchAgain(err *savoryverdict.Error) (*savoryverdict.Error, savorynews.Doubt) {
+	// setConfig stores the table before it tells the tracker, so the order matters.
 	doubt := c.g.configDoubt(c.g.now())
-	if doubt == savorynews.None {
+	if t := c.g.table.Load(); t != c.table {
+		c.table = t
+		err = c.match()
+	}
+	return err, doubt
+}
+
+// refuseInDoubt returns the error of match, or the refusal instead if the configuration may be out
+// of date.
+func refuseInDoubt(err *savoryverdict.Error, doubt savorynews.Doubt) *savoryverdict.Error {
+	if err == nil || doubt == savorynews.None {
 		return err
 	}
 	refusal := savoryverdict.Unavailable("Configuration"+string(doubt), busyRetryDelay, "the configuration may be out of date")
 	refusal.Err = err
 	return refusal
 }
-
-// awaitNewerTable waits for a newer routing table and reports whether there is one.
-func (c *call) awaitNewerTable() bool {
-	return c.g.awaitState(c.r.Context(), c.caller.Deadline, func() bool {
-		t := c.g.table.Load()
-		if t == c.table {
-			return false
-		}
-		c.table = t
-		return true
-	})
-}
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -58,9 +58,9 @@
 	})
 }
 
-// awaitState waits until the entry has the state that a request needs, and reports whether it
-// has. The deadline is as for awaitStart.
-func (g *Gate) awaitState(ctx context.Context, deadline time.Duration, met func() bool) bool {
+// awaitState waits until the entry has the state that a request needs, or for as long as the
+// request may wait for it. The deadline is as for awaitStart.
+func (g *Gate) awaitState(ctx context.Context, deadline time.Duration, met func() bool) {
 	wait := maxStateWait
 	if deadline > 0 {
 		wait = min(wait, time.Duration(stateWaitFraction*float64(deadline)))
@@ -70,11 +70,10 @@
 	for !met() {
 		select {
 		case <-ctx.Done():
-			return false
+			return
 		case <-time.After(statePollInterval):
 		}
 	}
-	return true
 }
 
 // errDeadline is the cause of a context that ended because the deadline of the
--- a/savoryentry/savorygate/where.go
+++ b/savoryentry/savorygate/where.go
@@ -97,10 +97,10 @@
 // previewRoute selects the route and the customer.
 func (c *call) previewRoute(q savoryadmin.WhereRequest, result *savoryadmin.Where, now time.Time) *savoryverdict.Error {
 	_, age := c.g.configReading(now)
-	result.Version, result.Age, result.Doubt = c.table.Config.Version, savoryworld.Duration(age), string(c.g.configDoubt(now))
-	err := c.match()
+	err, doubt := c.matchAgain(c.match())
+	result.Version, result.Age, result.Doubt = c.table.Config.Version, savoryworld.Duration(age), string(doubt)
 	if c.route == nil {
-		return c.doubtful(err)
+		return refuseInDoubt(err, doubt)
 	}
 	result.Route, result.Kind = c.route.Name, string(c.route.Kind)
 	if len(c.route.Shares) > 1 {
@@ -116,7 +116,7 @@
 		c.customer = c.table.CustomerByName(q.Customer)
 	}
 	if c.customer == nil {
-		return c.doubtful(err)
+		return refuseInDoubt(err, doubt)
 	}
 	result.Customer = c.customer.Name
 	return nil
