savorygate: time for which a VM was suspended counts as age of what it knows

Callers: a 404 or 401 for a route or key that has been in force elsewhere for longer than a version may take, from an entry that was in contact all the while. Cause: ages of readings of the store were counted by the steady clock, which stands still while a VM is suspended. An entry that wakes passed its reading on as recent, and its peers, which were not suspended, counted their configuration as confirmed by it for another ConfigTime. An answer that arrived during a suspension was dated alike. Change: readings, messages and what is known of newer versions are dated by CLOCK_BOOTTIME. TestCopiedListIsNoReading passes a time of the new clock, as its callers do.

--- a/savoryentry/savorygate/age_test.go
+++ b/savoryentry/savorygate/age_test.go
@@ -88,7 +88,7 @@
 
 // know gives the gate a reading of the store and events of just now.
 func (g *Gate) know(at time.Time) {
-	g.confirmConfig(7, at)
+	g.confirmConfig(7, g.bootNow().Add(-g.now().Sub(at)))
 	g.applyList(&savoryroster.Listing{Revision: 5, Servers: []savoryroster.Server{{ID: "e", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:2"), Zone: "a", Born: at.Add(-time.Minute), Beat: 1}}}, reading{id: 8, at: at}, "test")
 	g.view.recordSlowdown("e", 2, at, g.config())
 	g.view.mergeNotices([]savorynotice.State{{Server: "e", Born: at.Add(-time.Minute), Limit: 5}}, at)
@@ -169,7 +169,7 @@
 		gates[1].applySyncState(state, time.Time{})
 		state = gates[1].syncState(gates[0].relay.self, &state.Known)
 		is.NoErr(state.Check())
-		gates[0].applySyncState(state, now)
+		gates[0].applySyncState(state, gates[0].bootNow())
 	}
 	for range 3 {
 		exchange()
--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -15,7 +15,7 @@
 	"savorycart.example/savorycore/savoryverdict"
 )
 
-// configNews is what this entry knows about newer configurations.
+// configNews is what this entry knows about newer configurations. Its times are those of bootNow.
 type configNews struct {
 	mu      sync.Mutex
 	tracker savorynews.Tracker
@@ -24,15 +24,15 @@
 // hearConfig records that a version exists.
 func (g *Gate) hearConfig(version int64, source string) {
 	g.news.mu.Lock()
-	first := g.news.tracker.Hear(version, g.now())
+	first := g.news.tracker.Hear(version, g.bootNow())
 	g.news.mu.Unlock()
 	if first {
 		g.Log.WithFields(log.Fields{"version": version, "inForce": g.configVersion(), "source": source}).Info("newer configuration exists")
 	}
 }
 
-// confirmConfig records a reading of the store, at a time, that found no version newer than the
-// one in force.
+// confirmConfig records a reading of the store, at a time of bootNow, that found no version newer
+// than the one in force.
 func (g *Gate) confirmConfig(reading uint64, at time.Time) {
 	g.news.mu.Lock()
 	defer g.news.mu.Unlock()
@@ -44,7 +44,7 @@
 	id := rand.Uint64N(1<<63) + 1
 	g.confirmConfig(id, at)
 	g.Log.WithFields(log.Fields{
-		"reading": readingName(id), "revision": g.configPosition.Revision, "inForce": g.configVersion(), "tookMs": g.now().Sub(at).Milliseconds(),
+		"reading": readingName(id), "revision": g.configPosition.Revision, "inForce": g.configVersion(), "tookMs": g.bootNow().Sub(at).Milliseconds(),
 	}).Debug("configuration read")
 }
 
@@ -52,24 +52,24 @@
 func readingName(id uint64) string { return strconv.FormatUint(id, 36) }
 
 // configReading returns the last reading that confirmed the configuration, and its age.
-func (g *Gate) configReading(now time.Time) (reading uint64, age time.Duration) {
+func (g *Gate) configReading() (reading uint64, age time.Duration) {
 	g.news.mu.Lock()
 	defer g.news.mu.Unlock()
-	return g.news.tracker.LastReading(now)
+	return g.news.tracker.LastReading(g.bootNow())
 }
 
 // configDoubt reports whether the configuration in force may be out of date.
-func (g *Gate) configDoubt(now time.Time) savorynews.Doubt {
+func (g *Gate) configDoubt() savorynews.Doubt {
 	g.news.mu.Lock()
 	defer g.news.mu.Unlock()
-	return g.news.tracker.Doubt(now, g.Settings().ConfigTime)
+	return g.news.tracker.Doubt(g.bootNow(), g.Settings().ConfigTime)
 }
 
 // fetchStuck reports whether a newer version has been known for a while and no part of it
 // arrives from peers.
 func (g *Gate) fetchStuck(now time.Time) bool {
 	g.news.mu.Lock()
-	behindFor := g.news.tracker.BehindFor(now)
+	behindFor := g.news.tracker.BehindFor(g.bootNow())
 	g.news.mu.Unlock()
 	return behindFor > storeTimeout && now.Sub(g.fetch.progressAt.Load()) > storeTimeout
 }
@@ -93,7 +93,7 @@
 // doubt about a version that is not newer than the table which was matched.
 func (c *call) matchAgain(err *savoryverdict.Error) (*savoryverdict.Error, savorynews.Doubt) {
 	// setConfig stores the table before it tells the tracker, so the order matters.
-	doubt := c.g.configDoubt(c.g.now())
+	doubt := c.g.configDoubt()
 	if t := c.g.table.Load(); t != c.table {
 		c.table = t
 		err = c.match()
--- a/savoryentry/savorygate/behind_test.go
+++ b/savoryentry/savorygate/behind_test.go
@@ -60,7 +60,7 @@
 				}
 				g.setConfig(cfg, "test")
 			}
-			g.confirmOwnReading(g.now())
+			g.confirmOwnReading(g.bootNow())
 			c := newCall(g, "/new/")
 			if tt.heard > 0 {
 				g.hearConfig(tt.heard, "test")
@@ -99,8 +99,7 @@
 	t.Helper()
 	g := newPreparedGate(t, &Settings{Zone: "a", Peers: netip.MustParseAddrPort(address), ConfigTime: 3 * time.Second})
 	s := &suspendable{Gate: g}
-	running := g.SinceBoot
-	g.SinceBoot = func() time.Duration { return running() + s.suspended }
+	g.SinceBoot = func() time.Duration { return sinceBoot() + s.suspended }
 	return s
 }
 
@@ -111,7 +110,7 @@
 	is := is.New(t)
 	request := s.syncState(with.relay.self, &savorypeer.Versions{FetchesConfig: true})
 	is.NoErr(request.Check())
-	requestedAt := s.now()
+	requestedAt := s.bootNow()
 	response, err := with.handleSync(t.Context(), request)
 	is.NoErr(err)
 	before()
@@ -131,23 +130,23 @@
 		play func(t *testing.T, sleeper, peer *suspendable)
 	}{
 		{"peer asks after it", func(t *testing.T, sleeper, peer *suspendable) {
-			sleeper.confirmOwnReading(sleeper.now())
+			sleeper.confirmOwnReading(sleeper.bootNow())
 			sleeper.suspended += suspension
 			peer.exchange(t, sleeper, nothing)
 		}},
 		{"sleeper asks after it", func(t *testing.T, sleeper, peer *suspendable) {
-			sleeper.confirmOwnReading(sleeper.now())
+			sleeper.confirmOwnReading(sleeper.bootNow())
 			sleeper.suspended += suspension
 			sleeper.exchange(t, peer, nothing)
 		}},
 		{"while an answer is on its way to it", func(t *testing.T, sleeper, peer *suspendable) {
-			peer.confirmOwnReading(peer.now())
+			peer.confirmOwnReading(peer.bootNow())
 			sleeper.exchange(t, peer, func() { sleeper.suspended += suspension })
 			peer.suspended += suspension // time goes on for the peer
 			third := newSuspendable(t, "127.0.0.1:3")
 			third.relay.addEntries([]savorypeer.Entry{sleeper.relay.self}, third.now())
 			third.exchange(t, sleeper, nothing)
-			if doubt := third.configDoubt(third.now()); doubt == "" {
+			if doubt := third.configDoubt(); doubt == "" {
 				t.Error("a third entry does not doubt")
 			}
 		}},
@@ -163,7 +162,7 @@
 			}
 			tt.play(t, sleeper, peer)
 			for _, g := range []*suspendable{sleeper, peer} {
-				if doubt := g.configDoubt(g.now()); doubt == "" {
+				if doubt := g.configDoubt(); doubt == "" {
 					t.Errorf("%s does not doubt", g.relay.self.Address)
 				}
 			}
--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -59,7 +59,7 @@
 	g.setBudgets()
 	g.metrics.version.Set(float64(cfg.Version))
 	g.news.mu.Lock()
-	heardFor := g.news.tracker.SetInForce(cfg.Version, g.now())
+	heardFor := g.news.tracker.SetInForce(cfg.Version, g.bootNow())
 	g.news.mu.Unlock()
 	g.Log.WithFields(log.Fields{
 		"version": cfg.Version, "routes": len(cfg.Routes), "services": len(cfg.Services), "customers": len(cfg.Customers), "source": source,
@@ -131,6 +131,7 @@
 // readConfig reads the configuration.
 func (g *Gate) readConfig() (*transfer, error) {
 	silence := max(storeTimeout, g.configTimeout)
+	readAt := g.bootNow()
 	t, ctx, stop := g.startTransfer(silence, maxConfigBytes)
 	defer stop()
 	v, err := g.Store.Get(ctx, g.Store.ConfigKey)
@@ -153,7 +154,7 @@
 		g.configRefused = !g.applyConfig(v)
 	}
 	if !g.configRefused {
-		g.confirmOwnReading(t.startedAt)
+		g.confirmOwnReading(readAt)
 	}
 	return t, nil
 }
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -184,7 +184,6 @@
 
 // prepare makes the state that needs the settings.
 func (g *Gate) prepare(s *Settings) {
-	g.prepareClock()
 	g.startedAt = g.now()
 	g.metrics = newMetrics(g.LogDropped)
 	g.prepareIntake()
@@ -343,7 +342,7 @@
 		g.setBudgets()
 		g.updatePace()
 		g.updateIntake(now)
-		_, age := g.configReading(now)
+		_, age := g.configReading()
 		g.metrics.configAge.Set(age.Seconds())
 		for state, n := range g.view.countsByState(now) {
 			g.metrics.servers.WithLabelValues(state).Set(float64(n))
--- a/savoryentry/savorygate/relay.go
+++ b/savoryentry/savorygate/relay.go
@@ -504,8 +504,8 @@
 	return savorypeer.Entry{Address: address}
 }
 
-// stamp returns the stamp of a message to a peer that is made now. It is empty for an
-// unknown peer.
+// stamp returns the stamp of a message to a peer that is made now, a time of bootNow. It is
+// empty for an unknown peer.
 func (r *relay) stamp(to netip.AddrPort, now time.Time) savoryecho.Stamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -515,7 +515,7 @@
 	return savoryecho.Stamp{}
 }
 
-// madeAt returns a time before which a received state wasn't made, the zero time if its
+// madeAt returns a time of bootNow before which a received state wasn't made, the zero time if its
 // stamp tells none.
 func (r *relay) madeAt(s *savorypeer.SyncState, now time.Time) time.Time {
 	r.mu.Lock()
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -60,7 +60,7 @@
 // syncWith exchanges state with one peer. known is as returned by beginCall.
 func (g *Gate) syncWith(address netip.AddrPort, known *savorypeer.Versions) {
 	defer g.relay.endCall(address)
-	startedAt := g.now()
+	startedAt, requestedAt := g.now(), g.bootNow()
 	sent := g.syncState(g.relay.entry(address), known)
 	state, err := g.peerClient.Sync(g.ctx, address, sent)
 	g.metrics.peerCalls.WithLabelValues("sync", resultOf(err)).Inc()
@@ -72,7 +72,7 @@
 		}
 		return
 	}
-	g.applySyncState(state, startedAt)
+	g.applySyncState(state, requestedAt)
 }
 
 // logFailedCall logs a failed call to a peer, the first after a contact at info level:
@@ -135,11 +135,11 @@
 	now := g.now()
 	listing, own := g.view.listForPeers(now)
 	// The reading is taken before the version: it then found none newer than that.
-	configReading, configAge := g.configReading(now)
+	configReading, configAge := g.configReading()
 	cfg := g.config()
 	loads, relayed := g.relay.loadsFor(to, g.view.loadsForPeers(now), now)
 	state := &savorypeer.SyncState{
-		From: g.relay.self, Stamp: g.relay.stamp(to.Address, now), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
+		From: g.relay.self, Stamp: g.relay.stamp(to.Address, g.bootNow()), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
@@ -169,14 +169,15 @@
 }
 
 // applySyncState applies the state received from a peer, and forwards it if it
-// changes anything. requestedAt is when it was requested, the zero time for the state of a
-// caller.
+// changes anything. requestedAt is when it was requested, by bootNow, the zero time for the
+// state of a caller.
 func (g *Gate) applySyncState(s *savorypeer.SyncState, requestedAt time.Time) {
 	now := g.now()
 	if g.relay.recordState(s, now) {
 		g.Log.WithFields(log.Fields{"peer": s.From.Address.String(), "zone": s.From.Zone, "config": s.Known.Config}).Info("contact with peer established")
 	}
-	dated := g.date(s, requestedAt, now)
+	bootNow := g.bootNow()
+	dated := g.date(s, requestedAt, bootNow)
 	g.ObserveStoreEra(s.Known.StoreEra)
 	changed := s.Config != nil && g.setConfig(s.Config, "peer")
 	if dated {
@@ -194,7 +195,7 @@
 	if s.Known.Config > g.configVersion() {
 		g.hearConfig(s.Known.Config, s.From.Address.String())
 	} else if dated && s.Known.ConfigReading != 0 {
-		g.confirmConfig(s.Known.ConfigReading, now.Add(-s.Known.ConfigAge))
+		g.confirmConfig(s.Known.ConfigReading, bootNow.Add(-s.Known.ConfigAge))
 	}
 	if s.Known.FetchesConfig {
 		g.startFetch(s.From.Address, s.Known.Config)
@@ -228,7 +229,8 @@
 
 // date adds the time since a received state was made to the ages in it. It reports whether
 // that time is known. If it is not, the ages of events are still enough to use them, but
-// those of readings of the store are not: they would pass for newer than they are.
+// those of readings of the store are not: they would pass for newer than they are. Both times
+// are those of bootNow.
 func (g *Gate) date(s *savorypeer.SyncState, requestedAt, now time.Time) bool {
 	madeAt := g.relay.madeAt(s, now)
 	if requestedAt.After(madeAt) {
