savoryconn: a head whose status is none of a response is no response

Callers: an answer with status 600 or 999 and the worker's stamp; a 200 that stood in the body of a head with status 099, 100, 101 or 199; 504 after the whole deadline on 000 and 101. On the product's own path the status of the server was passed on, and 000, 099 and 101 ended the caller's connection (the library panics on such a status). Cause: each head below 200 was skipped as an informational one, whatever followed it, and the others had no upper bound. Change: a final status is one of 200 to 599; informational are 100 and 102 to 199 without a body; all else closes the connection, and the request goes on as after a break, on both paths and for orders, reports and the store. Between entries grpc-go checks the status itself.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -258,8 +258,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		if !isInformational(resp.StatusCode) {
+			return resp, checkFinal(resp.StatusCode)
+		}
+		if err := checkInformational(resp.StatusCode, resp.Header.Get("Content-Length"), len(resp.TransferEncoding) > 0); err != nil {
+			return nil, err
 		}
 	}
 }
--- /dev/null
+++ b/savorycore/savoryconn/status.go
@@ -0,0 +1,89 @@
+package savoryconn
+
+// This file defines which heads are responses. A faulty server may send others: a status that
+// does not exist, or an informational response with a body, whose bytes would be read as the
+// next response.
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
+)
+
+// minFinalStatus and maxFinalStatus are the first and the last status of a final response
+// (RFC 9110, section 15).
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// maxInformational bounds the informational responses that StrictTransport reads for one request.
+const maxInformational = 32
+
+// ErrNoResponse is returned when a server sends a head that is no response.
+var ErrNoResponse = errors.New("the head is no response")
+
+// checkFinal returns an error if a status is none of a final response.
+func checkFinal(status int) error {
+	if status < minFinalStatus || status > maxFinalStatus {
+		return fmt.Errorf("%w: status %03d", ErrNoResponse, status)
+	}
+	return nil
+}
+
+// isInformational reports whether a status is that of an informational response. 101 is not,
+// since no request asks for another protocol.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < minFinalStatus && status != http.StatusSwitchingProtocols
+}
+
+// checkInformational returns an error if an informational response states a body.
+func checkInformational(status int, length string, chunked bool) error {
+	if chunked || length != "" && length != "0" {
+		return fmt.Errorf("%w: status %03d with a body", ErrNoResponse, status)
+	}
+	return nil
+}
+
+// StrictTransport passes requests on to Base, which speaks HTTP/1.1. A head that is no response
+// fails its request and closes the connection.
+type StrictTransport struct{ Base *http.Transport }
+
+var _ http.RoundTripper = StrictTransport{}
+
+// RoundTrip implements http.RoundTripper. Its error wraps ErrNoResponse if the head was none.
+func (t StrictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn atomic.Pointer[net.Conn]
+	informational := 0
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			// Base bounds the header of each one only.
+			if informational++; informational > maxInformational {
+				return fmt.Errorf("%w: more than %d informational responses", ErrNoResponse, maxInformational)
+			}
+			// Base has read the field Transfer-Encoding. A chunk is no head, so Base fails.
+			return checkInformational(status, header.Get("Content-Length"), false)
+		},
+	})
+	resp, err := t.Base.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFinal(resp.StatusCode); err != nil {
+		_ = resp.Body.Close()
+		if c := conn.Load(); c != nil {
+			// Base may keep the connection, since it takes the body for complete.
+			_ = (*c).Close()
+		}
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the idle connections of Base.
+func (t StrictTransport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
--- /dev/null
+++ b/savorycore/savoryconn/status_test.go
@@ -0,0 +1,51 @@
+package savoryconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savoryraw"
+	"savorycart.example/savorycore/savoryverdict"
+)
+
+// Guards against a head that is no response and reaches the caller as one, is waited on until the
+// deadline, or hides a response in its body.
+func TestInvalidHeads(t *testing.T) {
+	savoryraw.EachInvalidHead(t, "Id: 1", func(t *testing.T, s *savoryraw.Server) {
+		is := is.New(t)
+		_, _, err := send(&Client{DialTimeout: time.Second}, s.Address(), "1")
+		var failure *Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Stage, "read")
+		is.Equal(failure.Verdict, savoryverdict.MayHaveRun)
+		is.True(!errors.Is(err, context.DeadlineExceeded)) // it did not wait for its deadline
+	})
+}
+
+// Guards against a response that is refused although its status, and those of the informational
+// ones before it, are of the protocol.
+func TestValidHeads(t *testing.T) {
+	for _, status := range []int{200, 204, 304, 404, 599} {
+		for _, informational := range []string{"", "100 Continue", "102 Processing", "103 Early Hints\r\nLink: </a>", "199 Other\r\nContent-Length: 0"} {
+			t.Run(fmt.Sprint(status, " ", informational), func(t *testing.T) {
+				is := is.New(t)
+				text := ""
+				if informational != "" {
+					text = "HTTP/1.1 " + informational + "\r\n\r\n"
+				}
+				text += fmt.Sprintf("HTTP/1.1 %d Status\r\nId: 1\r\nContent-Length: 0\r\n\r\n", status)
+				to := serve(t, func(c net.Conn, br *bufio.Reader) { respond(br, c, text) })
+				_, response, err := send(&Client{DialTimeout: time.Second}, to, "1")
+				is.NoErr(err)
+				is.Equal(response.StatusCode, status)
+			})
+		}
+	}
+}
--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -1,5 +1,5 @@
 // Package savoryraw has HTTP responses of faulty servers that are written byte for byte: they
-// break off or have no end. Tests of clients send them.
+// break off, have no end or are no responses. Tests of clients send them.
 package savoryraw
 
 import (
@@ -21,16 +21,25 @@
 //go:embed responses.txt
 var responses string
 
-// Response is a response that breaks off or has no end.
+//go:embed heads.txt
+var heads string
+
+// Response is a response that breaks off, has no end or is none.
 type Response struct {
 	Name string
 	text string
 }
 
-// Responses returns all responses of responses.txt.
-func Responses() []Response {
+// Responses returns all responses of responses.txt, which break off or have no end.
+func Responses() []Response { return sections(responses) }
+
+// InvalidHeads returns all heads of heads.txt, which are no responses.
+func InvalidHeads() []Response { return sections(heads) }
+
+// sections returns the responses of a file.
+func sections(file string) []Response {
 	var all []Response
-	for _, section := range strings.Split(strings.TrimSuffix(responses, "\n"), "\n== ")[1:] {
+	for _, section := range strings.Split(strings.TrimSuffix(file, "\n"), "\n== ")[1:] {
 		name, text, _ := strings.Cut(section, "\n")
 		r := New(text)
 		r.Name = name
@@ -62,7 +71,8 @@
 )
 
 // Write writes the response with the header fields, which are lines without the last line end. It
-// returns after the last byte, or when the other end has closed the connection.
+// returns after the last byte, or when the other end has closed the connection; w is a net.Conn if
+// the response waits for that.
 func (r Response) Write(w io.Writer, fields string) error {
 	text := strings.ReplaceAll(strings.ReplaceAll(r.text, "FIELDS", fields), "<CR>", "\r")
 	for text != "" {
@@ -74,6 +84,11 @@
 		text = after
 		verb, argument, _ := strings.Cut(directive, " ")
 		switch verb {
+		case "HOLD":
+			if c, ok := w.(io.Reader); ok {
+				_, err := io.Copy(io.Discard, c)
+				return err
+			}
 		case "FILL":
 			n, err := strconv.Atoi(argument)
 			if err != nil {
@@ -111,7 +126,16 @@
 // Each runs check in parallel for all responses of responses.txt and for extra ones, each with a
 // server that sends it with the header fields.
 func Each(t *testing.T, fields string, check func(t *testing.T, s *Server), extra ...Response) {
-	for _, r := range append(Responses(), extra...) {
+	each(t, append(Responses(), extra...), fields, check)
+}
+
+// EachInvalidHead is Each for the heads of heads.txt.
+func EachInvalidHead(t *testing.T, fields string, check func(t *testing.T, s *Server)) {
+	each(t, InvalidHeads(), fields, check)
+}
+
+func each(t *testing.T, all []Response, fields string, check func(t *testing.T, s *Server)) {
+	for _, r := range all {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
 			s := &Server{Response: r, Fields: fields}
@@ -164,18 +188,18 @@
 		return
 	}
 	// The client closes the connection of a response without end.
-	_ = s.Response.Write(&countingWriter{w: c, n: &s.written}, s.Fields)
+	_ = s.Response.Write(&countingConn{Conn: c, n: &s.written}, s.Fields)
 }
 
-// countingWriter adds the bytes that it writes to n.
-type countingWriter struct {
-	w io.Writer
+// countingConn adds the bytes that it writes to n.
+type countingConn struct {
+	net.Conn
 	n *atomic.Int64
 }
 
 // Write implements io.Writer.
-func (w *countingWriter) Write(p []byte) (int, error) {
-	n, err := w.w.Write(p)
-	w.n.Add(int64(n))
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
 	return n, err
 }
--- a/savorycore/savoryraw/raw_test.go
+++ b/savorycore/savoryraw/raw_test.go
@@ -27,7 +27,7 @@
 func TestWrite(t *testing.T) {
 	is := is.New(t)
 	names := make(map[string]bool)
-	for _, r := range Responses() {
+	for _, r := range append(Responses(), InvalidHeads()...) {
 		is.True(!names[r.Name]) // names are unique
 		names[r.Name] = true
 		w := &fullWriter{left: 1 << 20}
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -27,6 +27,7 @@
 
 	"savorycart.example/savorycore/savorychain"
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savoryengine"
 	"savorycart.example/savorycore/savorylimit"
 	"savorycart.example/savorycore/savorymember"
@@ -384,9 +385,9 @@
 
 // transport returns a transport to backend servers. It reuses connections if
 // keep is true, and otherwise opens a connection for each request.
-func transport(keep bool) *http.Transport {
+func transport(keep bool) savoryconn.StrictTransport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	return &http.Transport{
+	return savoryconn.StrictTransport{Base: &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !keep,
 		DisableCompression:  true,
@@ -394,7 +395,7 @@
 		IdleConnTimeout:     idleTimeout,
 		// The default is 10 MB, and many responses may be read at once on a small VM.
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // listen opens the listeners that the caller of Run did not provide.
--- a/savorystand/hostile_test.go
+++ b/savorystand/hostile_test.go
@@ -183,3 +183,27 @@
 		})
 	}
 }
+
+// Guards against a head of a backend server that is no response: it must not reach the caller, nor
+// end its connection, and a request with a key runs once.
+func TestInvalidHeads(t *testing.T) {
+	for _, r := range savoryraw.InvalidHeads() {
+		t.Run(r.Name, func(t *testing.T) {
+			t.Parallel()
+			site := hostileSite(t)
+			site.DispatchServers[0].SetFaults(savoryservice.Faults{Raw: &r})
+			caller := &savorysite.Caller{Entry: site.Nodes[0].Callers, Key: savorysite.CustomerKey("musina-guards")}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			for path, key := range map[string]string{"/notes": "", "/callouts": "key-" + strings.Fields(r.Name)[0]} {
+				response, err := caller.Send(ctx, http.MethodPost, path, "x", key)
+				if err != nil {
+					t.Errorf("%s: %v", path, err)
+				} else if response.Status != http.StatusBadGateway || response.Verdict != "MayHaveRun" {
+					t.Errorf("%s: status %d, verdict %s", path, response.Status, response.Verdict)
+				}
+			}
+			is.New(t).True(site.DispatchServers[0].Total() <= 2) // each of the requests runs once
+		})
+	}
+}
