--- a/savoryentry/savorygate/fetch.go
+++ b/savoryentry/savorygate/fetch.go
@@ -126,29 +126,38 @@
 			}
 			return
 		}
-		if part.Version <= g.configVersion() {
+		if !g.applyPart(part, from) {
 			return
 		}
-		packed, progress := g.fetch.add(part)
-		if !progress {
-			return // the peer has other parts than before
-		}
-		g.fetch.progressAt.Store(g.now())
-		if packed == nil {
-			continue
-		}
-		cfg, err := packed.Unpack()
-		if err != nil {
-			g.Log.WithError(err).WithField("peer", from.String()).Error("configuration refused")
-			if !errors.Is(err, savorypeer.ErrDigest) {
-				g.fetch.refuse(packed.Version)
-			}
-			return
-		}
-		if g.setConfig(cfg, "peer") {
-			g.forwardToZone()
+	}
+}
+
+// applyPart adds a part that a peer sent, and puts the configuration in force if it is the last
+// one. It reports whether the peer can be asked for the next part.
+func (g *Gate) applyPart(part *savorypeer.ConfigPart, from netip.AddrPort) bool {
+	if part.Version <= g.configVersion() {
+		return false
+	}
+	packed, progress := g.fetch.add(part)
+	if !progress {
+		return false // the peer has other parts than before
+	}
+	g.fetch.progressAt.Store(g.now())
+	if packed == nil {
+		return true
+	}
+	cfg, err := packed.Unpack()
+	if err != nil {
+		g.Log.WithError(err).WithField("peer", from.String()).Error("configuration refused")
+		if !errors.Is(err, savorypeer.ErrDigest) {
+			g.fetch.refuse(packed.Version)
 		}
+		return false
 	}
+	if g.setConfig(cfg, "peer") {
+		g.forwardToZone()
+	}
+	return true
 }
 
 // configVersion returns the version in force, 0 if there is none.
