--- a/savoryentry/savorygate/behind_test.go
+++ b/savoryentry/savorygate/behind_test.go
@@ -26,7 +26,10 @@
 func versionWith(version int64, prefixes ...string) *savoryrouting.Config {
 	cfg := &savoryrouting.Config{Version: version, Services: []savoryrouting.Service{{Name: "s"}}}
 	for _, p := range prefixes {
-		cfg.Routes = append(cfg.Routes, savoryrouting.Route{Name: p, Host: "shop.example", Prefix: p, Timeout: time.Second})
+		cfg.Routes = append(cfg.Routes, savoryrouting.Route{
+			Name: p, Host: "shop.example", Prefix: p, Kind: savoryrouting.Idempotent, Timeout: time.Second,
+			Shares: []savoryrouting.Share{{Service: "s", Weight: 1}},
+		})
 	}
 	return cfg
 }
