savorygate: TestFreshness starts no fetches over the network

Its entries fetched from each other's addresses in the background, beside the fetches that it plays; the race detector found it.

--- a/savoryentry/savorygate/freshness_test.go
+++ b/savoryentry/savorygate/freshness_test.go
@@ -104,6 +104,7 @@
 	for j := range freshnessEntries {
 		g.relay.addEntries([]savorypeer.Entry{{Address: address(j), Zone: "a"}}, g.now())
 	}
+	g.fetch.begin(firstVersion) // the test fetches, not the entry
 	f.gates[i], f.highest[i] = g, firstVersion
 }
 
