savorynode: an isolated entry denies nothing that may have been added

Callers on the product's own path: 404 or 401 for a route, model or key that was added while the entry had no contact with the store and with any peer, and no retry after it. Cause: denials did not ask how long the entry had heard of nothing.

--- a/savoryentry/savorynode/callers.go
+++ b/savoryentry/savorynode/callers.go
@@ -58,9 +58,11 @@
 	tables           *tables
 	metrics          *metrics
 	requestsInFlight *inFlightCounter
-	intake           *savoryfront.Front
-	pipelines        *pipelineRunner
-	services         *serviceRunner
+	// isolated is gossiper.isolated.
+	isolated  func(now time.Time) bool
+	intake    *savoryfront.Front
+	pipelines *pipelineRunner
+	services  *serviceRunner
 }
 
 // call is the request of a caller.
@@ -96,7 +98,7 @@
 		cl.log = c.log.WithField("request", cl.id)
 		out.Header().Set(headerRequestID, cl.id)
 		err := c.admit(r.Request, cl, func() error { return handle(out, r.Request, cl) })
-		c.finish(out, r.Request, cl, err)
+		c.finish(out, r.Request, cl, refuseInDoubt(err, c.isolated(c.now())))
 		return nil
 	}
 }
@@ -161,6 +163,22 @@
 	}).Info("request failed")
 }
 
+// refuseInDoubt returns err, or a refusal in its place if it denies what may have been added while
+// the entry was isolated. Callers do not ask again after a denial.
+func refuseInDoubt(err error, isolated bool) error {
+	var e *savoryverdict.Error
+	if !isolated || !errors.As(err, &e) {
+		return err
+	}
+	switch e.Status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		refusal := savoryverdict.Unavailable("ConfigurationUnconfirmed", unreadyRetryAfter, "the configuration may be out of date")
+		refusal.Err = err
+		return refusal
+	}
+	return err
+}
+
 // authenticate returns the customer for the request's key.
 func authenticate(snapshot *savoryconfig.Snapshot, r *http.Request) (*savoryworld.Customer, error) {
 	values := r.Header.Values("Authorization")
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -357,7 +357,7 @@
 func (n *Node) buildRunners() {
 	n.callers = &callers{
 		settings: n.Settings, log: n.Log, now: n.Now, keeper: n.keeper, tables: n.tables,
-		metrics: n.metrics, requestsInFlight: n.requestsInFlight, intake: &n.intake,
+		metrics: n.metrics, requestsInFlight: n.requestsInFlight, isolated: n.gossip.isolated, intake: &n.intake,
 	}
 	n.callers.pipelines = &pipelineRunner{
 		callers: n.callers, gossip: n.gossip, pool: n.pool,
--- a/savoryentry/savorynode/where.go
+++ b/savoryentry/savorynode/where.go
@@ -46,7 +46,7 @@
 		a: a, q: q, snapshot: a.keeper.snapshot(), now: a.now(),
 		result: &savoryadmin.Where{Entry: a.settings.Peers.Address.String(), Zone: a.settings.Zone},
 	}
-	if err := p.run(); err != nil {
+	if err := refuseInDoubt(p.run(), p.a.gossip.isolated(p.now)); err != nil {
 		p.result.Error, p.result.Choice = savoryadmin.NewWhereError(savoryverdict.Wrap(err)), nil
 	}
 	return p.result
