savorygate: a message states its ages and its own time by one reading of the clock

A VM that stood still between the two stated ages from before and a stamp from after it, so the receiver took the readings for as young as the message.

--- a/savoryentry/savorygate/behind.go
+++ b/savoryentry/savorygate/behind.go
@@ -51,11 +51,12 @@
 // readingName returns the ID of a reading as it is logged.
 func readingName(id uint64) string { return strconv.FormatUint(id, 36) }
 
-// configReading returns the last reading that confirmed the configuration, and its age.
-func (g *Gate) configReading() (reading uint64, age time.Duration) {
+// configReading returns the last reading that confirmed the configuration, and its age at a time
+// of bootNow.
+func (g *Gate) configReading(bootNow time.Time) (reading uint64, age time.Duration) {
 	g.news.mu.Lock()
 	defer g.news.mu.Unlock()
-	return g.news.tracker.LastReading(g.bootNow())
+	return g.news.tracker.LastReading(bootNow)
 }
 
 // configDoubt reports whether the configuration in force may be out of date.
--- a/savoryentry/savorygate/behind_test.go
+++ b/savoryentry/savorygate/behind_test.go
@@ -1,6 +1,7 @@
 package savorygate
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -108,6 +109,20 @@
 	return s
 }
 
+// suspendAfter suspends the VM after its clock was read n times from now on. Time goes on for the
+// other entry.
+func (s *suspendable) suspendAfter(n int, suspension time.Duration, other *suspendable) {
+	running := s.SinceBoot
+	s.SinceBoot = func() time.Duration {
+		d := running()
+		if n--; n == 0 {
+			s.suspended += suspension
+			other.suspended += suspension
+		}
+		return d
+	}
+}
+
 // read gives the entry readings of the configuration and of the list of servers.
 func (s *suspendable) read() {
 	now := s.bootNow()
@@ -171,6 +186,19 @@
 			third.checkOld(t, suspension)
 		}},
 	}
+	for n := range 6 {
+		tests = append(tests, struct {
+			name string
+			play func(t *testing.T, sleeper, peer *suspendable)
+		}{fmt.Sprintf("while it makes an answer, after %d readings of the clock", n+1), func(t *testing.T, sleeper, peer *suspendable) {
+			sleeper.read()
+			sleeper.suspendAfter(n+1, suspension, peer)
+			peer.exchange(t, sleeper, nothing)
+			for sleeper.suspended == 0 { // it read the clock less often
+				sleeper.bootNow()
+			}
+		}})
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			sleeper, peer := newSuspendable(t, "127.0.0.1:1"), newSuspendable(t, "127.0.0.1:2")
--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -424,7 +424,7 @@
 		"outcome": outcome, "status": status, "sends": c.sends, "mayHaveRun": c.mayHaveRun, "tookMs": c.g.now().Sub(c.startedAt).Milliseconds(),
 	})
 	if c.table != nil {
-		reading, age := c.g.configReading()
+		reading, age := c.g.configReading(c.g.bootNow())
 		logger = logger.WithFields(log.Fields{
 			"version": c.table.Config.Version, "inForce": c.g.configVersion(), "configAgeMs": age.Milliseconds(), "reading": readingName(reading),
 		})
--- a/savoryentry/savorygate/gate.go
+++ b/savoryentry/savorygate/gate.go
@@ -342,7 +342,7 @@
 		g.setBudgets()
 		g.updatePace()
 		g.updateIntake(now)
-		_, age := g.configReading()
+		_, age := g.configReading(g.bootNow())
 		g.metrics.configAge.Set(age.Seconds())
 		for state, n := range g.view.countsByState(now) {
 			g.metrics.servers.WithLabelValues(state).Set(float64(n))
--- a/savoryentry/savorygate/sync.go
+++ b/savoryentry/savorygate/sync.go
@@ -132,14 +132,15 @@
 // nil the state carries no list: a large one would be sent for nothing to peers that do
 // not respond. The peer's own state reports what it lacks.
 func (g *Gate) syncState(to savorypeer.Entry, known *savorypeer.Versions) *savorypeer.SyncState {
-	now := g.now()
-	listing, own := g.view.listForPeers(g.bootNow())
+	// The stamp states the time of the ages, however long it takes to make the rest.
+	now, bootNow := g.now(), g.bootNow()
+	listing, own := g.view.listForPeers(bootNow)
 	// The reading is taken before the version: it then found none newer than that.
-	configReading, configAge := g.configReading()
+	configReading, configAge := g.configReading(bootNow)
 	cfg := g.config()
 	loads, relayed := g.relay.loadsFor(to, g.view.loadsForPeers(now), now)
 	state := &savorypeer.SyncState{
-		From: g.relay.self, Stamp: g.relay.stamp(to.Address, g.bootNow()), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
+		From: g.relay.self, Stamp: g.relay.stamp(to.Address, bootNow), Draining: g.stopping.Load(), StoreWorks: g.storeWorks(), Orderer: g.ordering.Load(),
 		Entries: g.relay.newEntriesFor(to.Address, now), Loads: loads, Relayed: relayed,
 		Known: own,
 	}
--- a/savoryentry/savorygate/where.go
+++ b/savoryentry/savorygate/where.go
@@ -96,7 +96,7 @@
 
 // previewRoute selects the route and the customer.
 func (c *call) previewRoute(q savoryadmin.WhereRequest, result *savoryadmin.Where) *savoryverdict.Error {
-	_, age := c.g.configReading()
+	_, age := c.g.configReading(c.g.bootNow())
 	err, doubt := c.matchAgain(c.match())
 	result.Version, result.Age, result.Doubt = c.table.Config.Version, savoryworld.Duration(age), string(doubt)
 	if c.route == nil {
