review: case 7, an entry without an ID in the list sends permits to another service

What servers and callers saw: a server of yard runs 76 to 93 permits for orders in 15 s, and the callers get its answers as successes. The requests bear no Expect-Instance.

Order of events: another writer keeps an entry in the list under the key servers/, without an ID and three of its fields. It names the service orders and an address that yard uses. The entries take what is left of the key, nothing, for the ID of a server, and leave an empty Expect-Instance out.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -25,11 +25,13 @@
 		"version": 7,
 		"routes": []any{
 			route("r-permit", "/permit/", "non_idempotent", "orders", 800, 1, 100),
+			route("r-yard", "/yard/", "non_idempotent", "yard", 800, 1, 100),
 			route("r-stock", "/stock/", "idempotent", "orders", 800, 2, 100),
 			route("r-draft", "/draft/", "streaming", "draft-llm", 20000, 2, 500),
 		},
 		"services": []any{
 			map[string]any{"name": "orders", "health_path": "/health", "max_conns": 48},
+			map[string]any{"name": "yard", "health_path": "/health", "max_conns": 48},
 			map[string]any{"name": "draft-llm", "health_path": "/health", "max_conns": 898, "engine": map[string]any{
 				"slots": 192, "kv_capacity": 100000, "kv_token_bytes": 1000, "link_mbps": 400000.0, "stride": 3, "models": []any{map[string]any{"name": "m", "pace": 1.0, "load_s": 0.5, "warm_s": 0.1}},
 				"step_ms": 1.02, "per_seq_ms": 0.00714, "context_per_k": 0.01, "read_per_s": 105000, "chunk": 512, "report_lag_ms": 100, "loads_at_once": 8,
@@ -61,6 +63,17 @@
 	return nil
 }
 
+// startYard starts the three servers of yard.
+func (d *deployment) startYard() error {
+	for i := range 3 {
+		err := d.startWorker(workerConfig{ID: fmt.Sprintf("i-yard-%d", i+1), Service: "yard", Zone: zone(i), Slots: 6, Queue: 24, Work: 15 * time.Millisecond})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startEngines starts n engines.
 func (d *deployment) startEngines(n int, change func(i int, c *workerConfig)) error {
 	for i := range n {
@@ -182,6 +195,58 @@
 	return found.broken, nil
 }
 
+// entryWithoutID: another writer keeps an entry in the list without an ID and three fields. It names the
+// service orders and an address that a server of yard has now.
+func entryWithoutID(d *deployment) ([]string, error) {
+	err := d.startOrders(nil)
+	if err == nil {
+		err = d.startYard()
+	}
+	yard := plain(1)
+	yard.path = "/yard/2f"
+	if err == nil {
+		err = d.start(3, plain(0), yard)
+	}
+	if err != nil {
+		return nil, err
+	}
+	until := d.begun.Add(20 * time.Second)
+	if d.trouble {
+		d.mu.Lock()
+		address := d.workers["i-yard-2"].config.Address
+		d.mu.Unlock()
+		go func() {
+			time.Sleep(5 * time.Second)
+			d.note("disruption begins: another writer writes the key servers/ with the service orders and the address %s", address)
+			for time.Now().Before(until) {
+				d.store.put("servers/", fmt.Appendf(nil, `{"service":"orders","address":%q,"zone":"pnw-b","slots":6,"state":"ready"}`, address))
+				time.Sleep(heartbeat)
+			}
+		}()
+	}
+	var yardRequests sync.WaitGroup
+	yardRequests.Go(func() {
+		d.load(6, until, func(int) request {
+			r := yard
+			r.id = requestID()
+			return r
+		}, func(result) {})
+	})
+	d.load(36, until, plain, func(result) {})
+	yardRequests.Wait()
+	lines, err := d.serverLines()
+	if err != nil {
+		return nil, err
+	}
+	var broken []string
+	for _, l := range lines {
+		if l.event == "runs" && strings.HasPrefix(l.server, "i-yard") != strings.Contains(l.text, "/yard/") {
+			broken = append(broken, fmt.Sprintf("ROUTE: %s (%s) is run by %s of another service", l.id, l.text, l.server))
+		}
+	}
+	return broken, nil
+}
+
 // noStamp: for five seconds one server of orders spoils one of 50 of its answers.
 func noStamp(d *deployment) ([]string, error) {
 	err := d.startOrders(func(_ int, c *workerConfig) { c.NoStampEach = 50 })
@@ -255,11 +320,16 @@
 	return late, nil
 }
 
-// deepPart: the part that crashes servers is the 18th of the prompts, as in a long conversation.
-func deepPart(d *deployment) ([]string, error) {
+// partAfter returns the case in which the part that crashes servers comes after a number of turns of
+// a conversation.
+func partAfter(n int) caseFunc {
+	return func(d *deployment) ([]string, error) { return d.partAfter(n) }
+}
+
+func (d *deployment) partAfter(n int) ([]string, error) {
 	err := d.startEngines(8, func(_ int, c *workerConfig) { c.DeadlyPart, c.Restart = deadlyPart, 3*time.Second })
 	turns := ""
-	for i := range 16 {
+	for i := range n {
 		turns += fmt.Sprintf("%08x:30,", 0xc0+i)
 	}
 	prompt := func() string { return fmt.Sprintf("5c1e07a2:40,%s%016x:700", turns, rand.Uint64()) }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,10 +16,13 @@
 type caseFunc func(d *deployment) (broken []string, err error)
 
 var cases = map[string]caseFunc{
-	"unframed-crash": unframedCrash,
-	"no-stamp":       noStamp,
-	"sound-part":     soundPart,
-	"deep-part":      deepPart,
+	"unframed-crash":   unframedCrash,
+	"no-stamp":         noStamp,
+	"entry-without-id": entryWithoutID,
+	"sound-part":       soundPart,
+	"deep-part":        partAfter(16),
+	// shallow-part keeps the rule: see the claim of case 10.
+	"shallow-part": partAfter(2),
 }
 
 func main() {
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -223,7 +223,7 @@
 	if path := r.Header.Get("Hop-Count"); path != "" {
 		return w.serveStream(c, r, id, path)
 	}
-	w.note("runs", id, "")
+	w.note("runs", id, r.Method+" "+r.RequestURI)
 	time.Sleep(w.Work)
 	return w.answer(c, id)
 }
