--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,7 +21,7 @@
 	"entry-without-id": entryWithoutID,
 	"sound-part":       soundPart,
 	"deep-part":        partAfter(16),
-	// shallow-part keeps the rule: see the claim of case 10.
+	// deep-part and shallow-part belong to no case, see REPORT-2.md; shallow-part keeps the rule.
 	"shallow-part": partAfter(2),
 }
 
