--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -167,34 +167,6 @@
 	c.broken = append(c.broken, text)
 }
 
-// unframedCrash: a server of orders, whose answers end with their channel, crashes once.
-func unframedCrash(d *deployment) ([]string, error) {
-	err := d.startOrders(func(_ int, c *workerConfig) { c.Unframed, c.Pause = true, 300*time.Millisecond })
-	if err == nil {
-		err = d.start(2, plain(0))
-	}
-	if err != nil {
-		return nil, err
-	}
-	until := d.begun.Add(15 * time.Second)
-	if d.trouble {
-		time.AfterFunc(6*time.Second, func() {
-			d.mu.Lock()
-			c := d.workers["i-orders-2"].config
-			d.mu.Unlock()
-			d.kill("i-orders-2")
-			time.Sleep(4 * time.Second)
-			d.note("server i-orders-2 starts again")
-			if err := d.startWorker(c); err != nil {
-				d.note("server i-orders-2 not started: %v", err)
-			}
-		})
-	}
-	var found collector
-	d.load(36, until, plain, func(r result) { found.add(wholeAnswer(r)) })
-	return found.broken, nil
-}
-
 // entryWithoutID: another writer keeps an entry in the list without an ID and three fields. It names the
 // service orders and an address that a server of yard has now.
 func entryWithoutID(d *deployment) ([]string, error) {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,12 +16,11 @@
 type caseFunc func(d *deployment) (broken []string, err error)
 
 var cases = map[string]caseFunc{
-	"unframed-crash":   unframedCrash,
 	"no-stamp":         noStamp,
 	"entry-without-id": entryWithoutID,
 	"sound-part":       soundPart,
 	"deep-part":        partAfter(16),
-	// deep-part and shallow-part belong to no case, see REPORT-2.md; shallow-part keeps the rule.
+	// shallow-part keeps the rule: see the claim of case 10.
 	"shallow-part": partAfter(2),
 }
 
--- a/review/standin-2/run.go
+++ b/review/standin-2/run.go
@@ -372,16 +372,6 @@
 	return lines, nil
 }
 
-// kill ends a server at once, as a crash does.
-func (d *deployment) kill(id string) {
-	d.mu.Lock()
-	p := d.workers[id]
-	d.mu.Unlock()
-	d.note("server %s is killed (SIGKILL)", id)
-	_ = p.cmd.Process.Kill()
-	<-p.exited
-}
-
 // end ends all processes and returns the lines of the servers.
 func (d *deployment) end() []string {
 	d.mu.Lock()
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -38,10 +37,6 @@
 	Kind string
 	// Work is the time before an answer begins.
 	Work time.Duration
-	// Unframed answers have neither a length nor chunks and end with their connection. Between
-	// their two halves the server is silent for Pause.
-	Unframed bool
-	Pause    time.Duration
 	// Load is the time that an engine takes to load all Layers.
 	Load   time.Duration
 	Layers int
@@ -156,12 +151,6 @@
 	return err == nil && (len(text) == 0 || slices.Contains(strings.Fields(string(text)), w.ID))
 }
 
-// errClose ends a connection in order, errReset by a reset.
-var (
-	errClose = errors.New("closed")
-	errReset = errors.New("reset")
-)
-
 func (w *worker) serveConn(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
@@ -175,11 +164,7 @@
 		if err != nil {
 			return
 		}
-		switch err := w.serve(c, r, body); {
-		case errors.Is(err, errReset):
-			_ = c.(*net.TCPConn).SetLinger(0)
-			return
-		case err != nil:
+		if err := w.serve(c, r, body); err != nil {
 			return
 		}
 	}
@@ -233,24 +218,10 @@
 	whole, stamp := bodyOf(id), stampOf(w.ID, id)
 	n := w.answers.Add(1)
 	faulty := w.flagged("faults")
-	switch {
-	case faulty && w.NoStampEach > 0 && n%int64(w.NoStampEach) == 0:
+	if faulty && w.NoStampEach > 0 && n%int64(w.NoStampEach) == 0 {
 		w.note("answered", id, "wrong bytes: the field Server-Stamp and half of the body are spoiled")
 		half := len(whole) / 2
 		return respond(c, http.StatusOK, whole[:half]+strings.Repeat("#", len(whole)-half), "Request-Id", id, "Server-St#mp", stamp, "Content-Type", "text/plain")
-	case w.Unframed:
-		half := len(whole) / 2
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id, stamp)
-		if _, err := io.WriteString(c, head+whole[:half]); err != nil {
-			return err
-		}
-		w.note("half", id, fmt.Sprintf("%d of %d bytes", half, len(whole)))
-		time.Sleep(w.Pause)
-		if _, err := io.WriteString(c, whole[half:]); err != nil {
-			return err
-		}
-		w.note("answered", id, fmt.Sprintf("200 whole, %d bytes", len(whole)))
-		return errClose
 	}
 	w.note("answered", id, "200 whole")
 	return respond(c, http.StatusOK, whole, "Request-Id", id, "Server-Stamp", stamp, "Content-Type", "text/plain")
