--- a/review/standin-2/run.go
+++ b/review/standin-2/run.go
@@ -30,7 +30,6 @@
 	// The bounds are those of crtra-exchange.
 	heartbeat = 1200 * time.Millisecond
 	contact   = 3 * time.Second
-	drain     = 2 * time.Second
 )
 
 // The results of a case.
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -55,16 +55,6 @@
 	s.write(key, value, 0)
 }
 
-// remove deletes a key as a server does that leaves.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; ok {
-		s.revision++
-		delete(s.items, key)
-	}
-}
-
 func (s *store) write(key string, value []byte, leaseID int64) {
 	s.revision++
 	created := s.items[key].Created
@@ -108,9 +98,6 @@
 	case "/standin/put":
 		s.put(query.Get("key"), body)
 		return
-	case "/standin/remove":
-		s.remove(query.Get("key"))
-		return
 	case "/api/kv-watch":
 		time.Sleep(time.Second)
 	}
