--- a/review/standin-2/run.go
+++ b/review/standin-2/run.go
@@ -357,7 +357,7 @@
 		return nil, err
 	}
 	var lines []serverLine
-	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+	for _, line := range strings.Split(strings.TrimRight(string(text), "\n"), "\n") {
 		f := strings.SplitN(line, " ", 6)
 		if len(f) < 6 {
 			return nil, fmt.Errorf("line %q of the servers", line)
@@ -404,7 +404,7 @@
 	} else {
 		fmt.Println("kept:", d.dir)
 	}
-	return strings.Split(strings.TrimSpace(string(text)), "\n")
+	return strings.Split(strings.TrimRight(string(text), "\n"), "\n")
 }
 
 // writeRecord writes the lines of the case and of the servers in the order of their times.
