savoryconn: a response whose connection is reset during the upload is not whole

Callers got 200 with a part of the body, framed as a complete response, when a backend server answered a long upload at once without a length and reset the connection (MIXED). Failures (500) and event streams ended the same way, and a write to the store whose response was reset before its first byte counted as applied.

Cause: the kernel hands out the error of a reset once. If the goroutine that writes the request gets it, the one that reads the response sees the end of the connection, which also ends a body without a length. Nobody compared the two.

Fix: requestConn, under Client and under StrictTransport, ends with io.ErrUnexpectedEOF if it ends after a response has begun and a write of the request has failed. While the request is still being written, the end waits for the writer, at most 300 ms. A server that only ends its side (half-close) and reads on, or leaves the connection open for that time, is served as before: its response is whole. If it closes the connection earlier, while the request is still being written, its response counts as broken: 502, or the next server if the request may be repeated. The error arises where the connection is read, so both request paths, streams, failures that are passed on, reports and the store get it alike.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -76,7 +76,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*requestConn
 	br *bufio.Reader
 	// headBytesLeft is the number of bytes that may still be read for the head of
 	// a response; it is not used while readingHead is false.
@@ -94,12 +94,12 @@
 // after maxHeadBytes.
 func (c *conn) Read(p []byte) (int, error) {
 	if !c.readingHead {
-		return c.Conn.Read(p)
+		return c.requestConn.Read(p)
 	}
 	if c.headBytesLeft <= 0 {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	n, err := c.requestConn.Read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
 	return n, err
 }
@@ -130,12 +130,11 @@
 	// OnClose, if set, is called once when the response is closed.
 	OnClose func()
 
-	client    *Client
-	address   netip.AddrPort
-	conn      *conn
-	body      io.ReadCloser
-	stop      func() bool
-	writeDone chan error
+	client  *Client
+	address netip.AddrPort
+	conn    *conn
+	body    io.ReadCloser
+	stop    func() bool
 	// unackedUnbounded is set if unackedTimeout is not in force.
 	unackedUnbounded bool
 	mu               sync.Mutex
@@ -179,7 +178,7 @@
 	if err != nil {
 		return nil, &Error{Address: address, Stage: "dial", Verdict: savoryverdict.NotRun, Err: err}
 	}
-	a := &Response{client: c, address: address, conn: cn, Reused: reused, writeDone: make(chan error, 1)}
+	a := &Response{client: c, address: address, conn: cn, Reused: reused}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	req := r.httpRequest()
 	head, err := encodeHead(req)
@@ -205,12 +204,13 @@
 // write sends the request. A large body is written in the background, since a
 // server may respond before it has read the whole body.
 func (a *Response) write(head []byte, body [][]byte) {
+	a.conn.beginRequest()
 	if bodyBytes(body) <= maxSyncBodyBytes {
 		for _, block := range body {
 			head = append(head, block...)
 		}
 		_, err := a.conn.Write(head)
-		a.writeDone <- err
+		a.conn.endRequest(err)
 		return
 	}
 	// The kernel counts the unacknowledged time also while a working server reads
@@ -219,7 +219,7 @@
 	go func() {
 		buffers := append(net.Buffers{head}, body...)
 		_, err := buffers.WriteTo(a.conn.Conn)
-		a.writeDone <- err
+		a.conn.endRequest(err)
 	}()
 }
 
@@ -297,15 +297,9 @@
 	if a.OnClose != nil {
 		defer a.OnClose()
 	}
-	// If the context has ended, its AfterFunc has closed the connection.
-	usable := a.stop() && a.complete && !a.Response.Close && a.conn.br.Buffered() == 0 && len(a.conn.failed) <= maxFailedRequests
-	select {
-	case err := <-a.writeDone:
-		usable = usable && err == nil
-	default:
-		// The request's body is still being written.
-		usable = false
-	}
+	// If the context has ended, its AfterFunc has closed the connection. The request's body may still be
+	// being written.
+	usable := a.stop() && a.complete && a.conn.requestSent() && !a.Response.Close && a.conn.br.Buffered() == 0 && len(a.conn.failed) <= maxFailedRequests
 	if usable && a.unackedUnbounded {
 		usable = a.conn.setUnackedTimeout(unackedTimeout) == nil
 	}
@@ -364,7 +358,7 @@
 	if c.OnDial != nil {
 		c.OnDial()
 	}
-	cn := &conn{Conn: nc}
+	cn := &conn{requestConn: &requestConn{Conn: nc}}
 	cn.br = bufio.NewReaderSize(cn, readBufferBytes)
 	return cn, false, nil
 }
--- /dev/null
+++ b/savorycore/savoryconn/request.go
@@ -0,0 +1,115 @@
+package savoryconn
+
+// This file tells a connection that its server has reset from one that it has ended. The kernel reports
+// a reset only once: if the writer of a request gets the error, the reader of the response sees the
+// end of the connection, which is also the end of a response without a length.
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// halfCloseTime is how long the end of a connection is doubted while the request is still being
+// written. A server that has closed the connection resets it when it receives more of the request,
+// and the kernel sends a lost packet again within this time.
+const halfCloseTime = 300 * time.Millisecond
+
+// requestConn is a connection on which one request is sent at a time. If the server resets it before
+// it has received the whole request, a response that has begun ends with io.ErrUnexpectedEOF. A server
+// may also respond early and end only its side of the connection (RFC 9112, section 9.6): it then
+// receives the rest of the request, or leaves the connection open.
+type requestConn struct {
+	net.Conn
+	// writing is held during a write.
+	writing sync.Mutex
+
+	mu sync.Mutex
+	// sent is closed once the current request is written; nil before the first request.
+	sent chan struct{}
+	// answered is set once bytes have arrived since the current request began.
+	answered bool
+	// writeErr is the first error of a write.
+	writeErr error
+}
+
+// beginRequest records that a request is being written.
+func (c *requestConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent, c.answered = make(chan struct{}), false
+}
+
+// endRequest records that the current request is written, or that writing it failed with err.
+func (c *requestConn) endRequest(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordWrite(err)
+	if c.sent != nil && !isClosed(c.sent) {
+		close(c.sent)
+	}
+}
+
+// requestSent reports whether the current request was written without an error.
+func (c *requestConn) requestSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return isClosed(c.sent) && c.writeErr == nil
+}
+
+// Write implements net.Conn.
+func (c *requestConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordWrite(err)
+	return n, err
+}
+
+// recordWrite records the error of a write; mu is held.
+func (c *requestConn) recordWrite(err error) {
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+}
+
+// Read implements net.Conn.
+func (c *requestConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.answered = c.answered || n > 0
+	sent, answered := c.sent, c.answered
+	c.mu.Unlock()
+	if errors.Is(err, io.EOF) && sent != nil && answered && c.wasReset(sent) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// wasReset reports whether a connection that has ended was reset while the current request was
+// being written. It waits until the request is written, but not longer than halfCloseTime.
+func (c *requestConn) wasReset(sent <-chan struct{}) bool {
+	if err := c.SetWriteDeadline(time.Now().Add(halfCloseTime)); err != nil {
+		return true // closed
+	}
+	<-sent
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- a/savorycore/savoryconn/status.go
+++ b/savorycore/savoryconn/status.go
@@ -5,6 +5,7 @@
 // next response.
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -49,41 +50,66 @@
 	return nil
 }
 
-// StrictTransport passes requests on to Base, which speaks HTTP/1.1. A head that is no response
-// fails its request and closes the connection.
-type StrictTransport struct{ Base *http.Transport }
+// StrictTransport passes requests on to a transport that speaks HTTP/1.1 without TLS. A head that is no
+// response fails its request and closes the connection. A response whose connection is reset ends
+// with an error.
+type StrictTransport struct{ base *http.Transport }
 
 var _ http.RoundTripper = StrictTransport{}
 
+// NewStrictTransport returns a StrictTransport that passes requests on to base. DialContext of base is
+// set before, and base is not used otherwise.
+func NewStrictTransport(base *http.Transport) StrictTransport {
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &requestConn{Conn: c}, nil
+	}
+	return StrictTransport{base}
+}
+
 // RoundTrip implements http.RoundTripper. Its error wraps ErrNoResponse if the head was none.
 func (t StrictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[net.Conn]
+	var conn atomic.Pointer[requestConn]
 	informational := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*requestConn); ok {
+				c.beginRequest()
+				conn.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := conn.Load(); c != nil {
+				c.endRequest(nil) // It knows the error of its own writes.
+			}
+		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
-			// Base bounds the header of each one only.
+			// The transport bounds the header of each one only.
 			if informational++; informational > maxInformational {
 				return fmt.Errorf("%w: more than %d informational responses", ErrNoResponse, maxInformational)
 			}
-			// Base has read the field Transfer-Encoding. A chunk is no head, so Base fails.
+			// The transport has read the field Transfer-Encoding. A chunk is no head, so it fails.
 			return checkInformational(status, header.Get("Content-Length"), false)
 		},
 	})
-	resp, err := t.Base.RoundTrip(req.WithContext(ctx))
+	resp, err := t.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkFinal(resp.StatusCode); err != nil {
 		_ = resp.Body.Close()
 		if c := conn.Load(); c != nil {
-			// Base may keep the connection, since it takes the body for complete.
-			_ = (*c).Close()
+			// The transport may keep the connection, since it takes the body for complete.
+			_ = c.Close()
 		}
 		return nil, err
 	}
 	return resp, nil
 }
 
-// CloseIdleConnections closes the idle connections of Base.
-func (t StrictTransport) CloseIdleConnections() { t.Base.CloseIdleConnections() }
+// CloseIdleConnections closes the idle connections of the transport.
+func (t StrictTransport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -24,6 +24,9 @@
 //go:embed heads.txt
 var heads string
 
+//go:embed early.txt
+var early string
+
 // Response is a response that breaks off, has no end or is none.
 type Response struct {
 	Name string
@@ -36,6 +39,10 @@
 // InvalidHeads returns all heads of heads.txt, which are no responses.
 func InvalidHeads() []Response { return sections(heads) }
 
+// EarlyResponses returns all responses of early.txt, which a server sends before it has read the
+// body of the request.
+func EarlyResponses() []Response { return sections(early) }
+
 // sections returns the responses of a file.
 func sections(file string) []Response {
 	var all []Response
@@ -59,6 +66,10 @@
 	return found && strings.Contains(head, "FIELDS")
 }
 
+// Whole reports whether a response of early.txt is whole: the server ends its side of the connection
+// and does not reset it.
+func (r Response) Whole() bool { return strings.Contains(r.text, "<END>") }
+
 // Endless reports whether the response has no end.
 func (r Response) Endless() bool { return strings.Contains(r.text, "<ENDLESS ") }
 
@@ -71,53 +82,96 @@
 )
 
 // Write writes the response with the header fields, which are lines without the last line end. It
-// returns after the last byte, or when the other end has closed the connection; w is a net.Conn if
-// the response waits for that.
+// returns after the last byte, or when the other end has closed the connection. w is a *net.TCPConn,
+// which the caller closes then, if the response waits for that, resets the connection or ends one
+// side of it.
 func (r Response) Write(w io.Writer, fields string) error {
 	text := strings.ReplaceAll(strings.ReplaceAll(r.text, "FIELDS", fields), "<CR>", "\r")
 	for text != "" {
 		before, rest, found := strings.Cut(text, "<")
-		if _, err := io.WriteString(w, before); err != nil || !found {
-			return err
+		if before != "" { // An empty write fails after <END>.
+			if _, err := io.WriteString(w, before); err != nil {
+				return err
+			}
+		}
+		if !found {
+			return nil
 		}
 		directive, after, _ := strings.Cut(rest, ">")
 		text = after
 		verb, argument, _ := strings.Cut(directive, " ")
+		var err error
 		switch verb {
-		case "HOLD":
-			if c, ok := w.(io.Reader); ok {
-				_, err := io.Copy(io.Discard, c)
-				return err
-			}
-		case "FILL":
-			n, err := strconv.Atoi(argument)
-			if err != nil {
-				return fmt.Errorf("response %q: %w", r.Name, err)
-			}
-			if _, err := w.Write(bytes.Repeat([]byte("x"), n)); err != nil {
-				return err
-			}
-		case "ENDLESS":
-			part := bytes.Repeat([]byte(argument), max(1, endlessBytes/len(argument)))
-			for {
-				if _, err := w.Write(part); err != nil {
-					return err
-				}
-				time.Sleep(endlessInterval)
-			}
+		case "HOLD", "END", "RESET", "PAUSE":
+			err = control(w, verb, argument)
 		default:
-			return fmt.Errorf("response %q: directive %q does not exist", r.Name, verb)
+			err = writePart(w, verb, argument)
+		}
+		if err != nil {
+			return fmt.Errorf("response %q: %w", r.Name, err)
 		}
 	}
 	return nil
 }
 
+// control carries out a directive that concerns the connection. It does nothing if w is no
+// connection.
+func control(w io.Writer, verb, argument string) error {
+	if verb == "PAUSE" {
+		d, err := time.ParseDuration(argument)
+		time.Sleep(d)
+		return err
+	}
+	c, ok := w.(interface {
+		io.Reader
+		CloseWrite() error
+		SetLinger(sec int) error
+	})
+	if !ok {
+		return nil
+	}
+	switch verb {
+	case "END":
+		return c.CloseWrite()
+	case "RESET":
+		return c.SetLinger(0)
+	}
+	_, err := io.Copy(io.Discard, c)
+	return err
+}
+
+// writePart writes the bytes that a directive stands for.
+func writePart(w io.Writer, verb, argument string) error {
+	switch verb {
+	case "EVENT":
+		_, err := fmt.Fprintf(w, "id: %s\ndata: token %s\n\n", argument, argument)
+		return err
+	case "FILL":
+		n, err := strconv.Atoi(argument)
+		if err == nil {
+			_, err = w.Write(bytes.Repeat([]byte("x"), n))
+		}
+		return err
+	case "ENDLESS":
+		part := bytes.Repeat([]byte(argument), max(1, endlessBytes/len(argument)))
+		for {
+			if _, err := w.Write(part); err != nil {
+				return err
+			}
+			time.Sleep(endlessInterval)
+		}
+	}
+	return fmt.Errorf("directive %q does not exist", verb)
+}
+
 // Server responds to each request on loopback with one response, and then closes the
 // connection. Response is set before Start.
 type Server struct {
 	Response Response
 	// Fields are header fields of the response as for Response.Write.
 	Fields string
+	// Early is set if the server responds before it has read the body of the request.
+	Early bool
 
 	listener net.Listener
 	written  atomic.Int64
@@ -126,19 +180,25 @@
 // Each runs check in parallel for all responses of responses.txt and for extra ones, each with a
 // server that sends it with the header fields.
 func Each(t *testing.T, fields string, check func(t *testing.T, s *Server), extra ...Response) {
-	each(t, append(Responses(), extra...), fields, check)
+	each(t, append(Responses(), extra...), func(s *Server) { s.Fields = fields }, check)
 }
 
 // EachInvalidHead is Each for the heads of heads.txt.
 func EachInvalidHead(t *testing.T, fields string, check func(t *testing.T, s *Server)) {
-	each(t, InvalidHeads(), fields, check)
+	each(t, InvalidHeads(), func(s *Server) { s.Fields = fields }, check)
+}
+
+// EachEarly is Each for the responses of early.txt.
+func EachEarly(t *testing.T, fields string, check func(t *testing.T, s *Server)) {
+	each(t, EarlyResponses(), func(s *Server) { s.Fields, s.Early = fields, true }, check)
 }
 
-func each(t *testing.T, all []Response, fields string, check func(t *testing.T, s *Server)) {
+func each(t *testing.T, all []Response, configure func(*Server), check func(t *testing.T, s *Server)) {
 	for _, r := range all {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Parallel()
-			s := &Server{Response: r, Fields: fields}
+			s := &Server{Response: r}
+			configure(s)
 			if err := s.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -161,7 +221,9 @@
 			if err != nil {
 				return // closed
 			}
-			go s.serve(c)
+			if tcp, ok := c.(*net.TCPConn); ok {
+				go s.serve(tcp)
+			}
 		}
 	}()
 	return nil
@@ -178,28 +240,30 @@
 // Close closes the listener.
 func (s *Server) Close() { _ = s.listener.Close() }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c *net.TCPConn) {
 	defer func() { _ = c.Close() }()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
+	if !s.Early {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
 	}
 	// The client closes the connection of a response without end.
-	_ = s.Response.Write(&countingConn{Conn: c, n: &s.written}, s.Fields)
+	_ = s.Response.Write(&countingConn{TCPConn: c, n: &s.written}, s.Fields)
 }
 
 // countingConn adds the bytes that it writes to n.
 type countingConn struct {
-	net.Conn
+	*net.TCPConn
 	n *atomic.Int64
 }
 
 // Write implements io.Writer.
 func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.TCPConn.Write(p)
 	c.n.Add(int64(n))
 	return n, err
 }
--- a/savorycore/savoryraw/raw_test.go
+++ b/savorycore/savoryraw/raw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 
@@ -27,7 +28,7 @@
 func TestWrite(t *testing.T) {
 	is := is.New(t)
 	names := make(map[string]bool)
-	for _, r := range append(Responses(), InvalidHeads()...) {
+	for _, r := range slices.Concat(Responses(), InvalidHeads(), EarlyResponses()) {
 		is.True(!names[r.Name]) // names are unique
 		names[r.Name] = true
 		w := &fullWriter{left: 1 << 20}
--- a/savoryentry/savorynode/node.go
+++ b/savoryentry/savorynode/node.go
@@ -387,7 +387,7 @@
 // keep is true, and otherwise opens a connection for each request.
 func transport(keep bool) savoryconn.StrictTransport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	return savoryconn.StrictTransport{Base: &http.Transport{
+	return savoryconn.NewStrictTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !keep,
 		DisableCompression:  true,
@@ -395,7 +395,7 @@
 		IdleConnTimeout:     idleTimeout,
 		// The default is 10 MB, and many responses may be read at once on a small VM.
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	})
 }
 
 // listen opens the listeners that the caller of Run did not provide.
--- a/savoryentry/savorynode/transport_test.go
+++ b/savoryentry/savorynode/transport_test.go
@@ -1,7 +1,9 @@
 package savorynode
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -54,3 +56,41 @@
 		})
 	}
 }
+
+// Guards against a response without a length that is passed on as whole although its server reset the
+// connection while the request was being written, and against one that is refused although its server
+// only ended its side.
+func TestEarlyResponses(t *testing.T) {
+	const runs, bodyBytes = 40, 960_000
+	for _, keep := range []bool{true, false} {
+		savoryraw.EachEarly(t, "A: b", func(t *testing.T, s *savoryraw.Server) {
+			tr := transport(keep)
+			for range runs {
+				if err := sendEarly(t, tr, s, bodyBytes); (err == nil) != s.Response.Whole() {
+					t.Errorf("whole: %t, %v", s.Response.Whole(), err)
+				}
+			}
+		})
+	}
+}
+
+// sendEarly sends a request with a body of size bytes, and returns the error of its response.
+func sendEarly(t *testing.T, tr http.RoundTripper, s *savoryraw.Server, size int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address().String()+"/", onceBody{bytes.NewReader(make([]byte, size))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.ContentLength = int64(size)
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	if ctx.Err() != nil {
+		t.Error("waited until the deadline")
+	}
+	return err
+}
