savoryconn: the operators' client, the store's and the list's read only responses, too

What their users saw: savoryctl took a head with status 000 (001, 099) for the success of a call and its body for the document; it, and a watch of the store, hung on a 101 past their deadlines, since package net/http leaves such a connection to its caller. The store's client waited for the rest of a 000 or 999 until its deadline.

Cause: only the readers of backend servers' answers had StrictTransport; these three used net/http's own.

Fix: savoryconn.DefaultTransport, a StrictTransport with net/http's settings, carries the calls of savorystore, savoryadmin, savoryvmlist and savoryctl. So the checks of heads and resets apply to them as well.

--- a/savorycore/savoryadmin/client.go
+++ b/savorycore/savoryadmin/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 
 	"savorycart.example/savorycore/savoryconfig"
+	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savorymember"
 	"savorycart.example/savorycore/savoryverdict"
 )
@@ -21,13 +22,16 @@
 // maxResponseBytes bounds one response.
 const maxResponseBytes = 64 << 20
 
+// httpClient carries the calls of the clients that have no HTTP client of their own.
+var httpClient = &http.Client{Transport: savoryconn.DefaultTransport()}
+
 // Client calls the operators' listener of one entry. Its exported fields are
 // set before its first use.
 type Client struct {
 	Entry netip.AddrPort
 	// Token is a team's token. It may be empty for calls that only read.
 	Token string
-	// HTTP sends the requests; nil means http.DefaultClient.
+	// HTTP sends the requests; nil means one with savoryconn.DefaultTransport.
 	HTTP *http.Client
 	// TLS is set if the listener uses TLS.
 	TLS bool
@@ -128,7 +132,7 @@
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = httpClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/savorycore/savoryconn/status.go
+++ b/savorycore/savoryconn/status.go
@@ -50,17 +50,20 @@
 	return nil
 }
 
-// StrictTransport passes requests on to a transport that speaks HTTP/1.1 without TLS. A head that is no
+// StrictTransport passes requests on to a transport that speaks HTTP/1.1. A head that is no
 // response fails its request and closes the connection. A response whose connection is reset ends
 // with an error.
 type StrictTransport struct{ base *http.Transport }
 
 var _ http.RoundTripper = StrictTransport{}
 
-// NewStrictTransport returns a StrictTransport that passes requests on to base. DialContext of base is
-// set before, and base is not used otherwise.
+// NewStrictTransport returns a StrictTransport that passes requests on to base, which is not used
+// otherwise.
 func NewStrictTransport(base *http.Transport) StrictTransport {
 	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
@@ -71,19 +74,32 @@
 	return StrictTransport{base}
 }
 
+// DefaultTransport returns a StrictTransport with the settings of http.DefaultTransport and a bound on
+// the head of a response.
+func DefaultTransport() StrictTransport {
+	base, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		base = new(http.Transport) // replaced by a test
+	}
+	base = base.Clone()
+	base.MaxResponseHeaderBytes = maxHeadBytes
+	return NewStrictTransport(base)
+}
+
 // RoundTrip implements http.RoundTripper. Its error wraps ErrNoResponse if the head was none.
 func (t StrictTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[requestConn]
+	var conn atomic.Pointer[net.Conn]
 	informational := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			conn.Store(&info.Conn)
+			// TLS tells the end of a connection from a reset by itself.
 			if c, ok := info.Conn.(*requestConn); ok {
 				c.beginRequest()
-				conn.Store(c)
 			}
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
-			if c := conn.Load(); c != nil {
+			if c, ok := (*conn.Load()).(*requestConn); ok {
 				c.endRequest(nil) // It knows the error of its own writes.
 			}
 		},
@@ -104,7 +120,7 @@
 		_ = resp.Body.Close()
 		if c := conn.Load(); c != nil {
 			// The transport may keep the connection, since it takes the body for complete.
-			_ = c.Close()
+			_ = (*c).Close()
 		}
 		return nil, err
 	}
--- a/savorycore/savorystore/raw_test.go
+++ b/savorycore/savorystore/raw_test.go
@@ -42,3 +42,18 @@
 	defer cancel()
 	is.True(errors.Is(s.Watch(ctx, "k", 1, func(Value) {}), errWatchTooLarge))
 }
+
+// Guards against a head that is no response and counts as one of the store.
+func TestInvalidHeads(t *testing.T) {
+	savoryraw.EachInvalidHead(t, "Content-Type: application/json", func(t *testing.T, server *savoryraw.Server) {
+		is := is.New(t)
+		s := &Store{Address: server.Address(), Timeout: 300 * time.Millisecond}
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		result, err := s.Swap(ctx, Swap{Key: "k", Body: []byte("v")})
+		is.True(err != nil && !result.Applied)
+		is.Equal(savoryverdict.Of(err), savoryverdict.MayHaveRun)
+		is.True(s.Watch(ctx, "k", 1, func(Value) { t.Error("a change is read") }) != nil)
+		is.NoErr(ctx.Err()) // the watch has ended because of the response
+	})
+}
--- a/savorycore/savorystore/store.go
+++ b/savorycore/savorystore/store.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savoryverdict"
 	"savorycart.example/savorycore/savoryworld"
 )
@@ -45,21 +46,8 @@
 // errWatchTooLarge is returned if a message of a watch exceeds maxWatchBytes.
 var errWatchTooLarge = fmt.Errorf("a message of the watch exceeds %d bytes", maxWatchBytes)
 
-// maxHeaderBytes bounds the header of a response. The library's default is 10 MB.
-const maxHeaderBytes = 64 << 10
-
 // httpClient carries the calls of all stores.
-var httpClient = &http.Client{Transport: boundedTransport()}
-
-func boundedTransport() http.RoundTripper {
-	shared, ok := http.DefaultTransport.(*http.Transport)
-	if !ok {
-		return http.DefaultTransport // replaced by a test
-	}
-	t := shared.Clone()
-	t.MaxResponseHeaderBytes = maxHeaderBytes
-	return t
-}
+var httpClient = &http.Client{Transport: savoryconn.DefaultTransport()}
 
 // maxReadTimeouts bounds a read whose response makes progress, as a multiple of
 // the timeout.
--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -15,6 +15,7 @@
 	"net/url"
 	"time"
 
+	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savoryworld"
 )
 
@@ -29,6 +30,9 @@
 	RoleWorker = "worker"
 )
 
+// httpClient carries the reads of all clients.
+var httpClient = &http.Client{Transport: savoryconn.DefaultTransport()}
+
 // Group is a set of targets with the same labels.
 type Group struct {
 	// Targets are addresses with ports.
@@ -105,7 +109,6 @@
 	// left out since they cannot be read.
 	OnInvalid func(error)
 
-	client http.Client
 	// etag is the ETag of lastVMs; empty before the first read or if the platform
 	// sends none.
 	etag    string
@@ -158,9 +161,9 @@
 	if c.etag != "" {
 		req.Header.Set("If-None-Match", c.etag)
 	}
-	resp, err := c.client.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
-		c.client.CloseIdleConnections()
+		httpClient.CloseIdleConnections()
 		return nil, fmt.Errorf("reading VM list: %w", err)
 	}
 	defer resp.Body.Close()
--- a/savorycore/savoryvmlist/raw_test.go
+++ b/savorycore/savoryvmlist/raw_test.go
@@ -21,3 +21,12 @@
 		is.Equal(len(vms), 0)
 	}, tooLarge)
 }
+
+// Guards against a head that is no response, or hides one in its body, and counts as a list.
+func TestInvalidHeads(t *testing.T) {
+	savoryraw.EachInvalidHead(t, "ETag: x", func(t *testing.T, s *savoryraw.Server) {
+		is := is.New(t)
+		_, err := (&Client{Address: s.Address(), Timeout: time.Second}).Read(context.Background())
+		is.True(err != nil)
+	})
+}
--- a/savoryctl/flags.go
+++ b/savoryctl/flags.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"savorycart.example/savorycore/savoryadmin"
+	"savorycart.example/savorycore/savoryconn"
 )
 
 const (
@@ -109,7 +110,7 @@
 // -ca.
 func (o *options) transport() (http.RoundTripper, error) {
 	if *o.authority == "" {
-		return http.DefaultTransport, nil
+		return savoryconn.DefaultTransport(), nil
 	}
 	text, err := os.ReadFile(*o.authority)
 	if err != nil {
@@ -119,7 +120,7 @@
 	if !pool.AppendCertsFromPEM(text) {
 		return nil, fmt.Errorf("-ca: %s holds no certificate", *o.authority)
 	}
-	return &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}, nil
+	return savoryconn.NewStrictTransport(&http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}}), nil
 }
 
 // print writes v as JSON if -json is set, and otherwise calls text.
