savoryconn: a head with a field name that is no token is no response

Callers got answers in whose head the name of a field held a blank (X A: b, Content-Length : 3): with that line dropped or passed on, with a body that was read without the length or the coding that the line states, on plain requests, streams and failures, also after an informational response with such a line. Reports, orders and calls of the store took them as well: an order counted as begun. Control bytes, delimiters, an empty name and a line without a colon were refused before; their tests are kept.

Cause: net/http's reader takes blanks in and after a name and keeps the name as it is, so that the line is none of the fields that it looks for.

Fix: the place where a head becomes a response, in Client and in StrictTransport, compares each name with the grammar of a token (RFC 9112, section 5.1; golang.org/x/net/http/httpguts, which grpc required already). Informational responses are checked alike. RFC 9112 lets a proxy remove blanks before the colon; a server that sends them is not trusted with the framing here.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -258,6 +258,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkFields(resp.Header); err != nil {
+			return nil, err
+		}
 		if !isInformational(resp.StatusCode) {
 			return resp, checkFinal(resp.StatusCode)
 		}
--- a/savorycore/savoryconn/status.go
+++ b/savorycore/savoryconn/status.go
@@ -1,8 +1,8 @@
 package savoryconn
 
 // This file defines which heads are responses. A faulty server may send others: a status that
-// does not exist, or an informational response with a body, whose bytes would be read as the
-// next response.
+// does not exist, a field whose name is no token, which a later reader may take for the framing of the
+// message, or an informational response with a body, whose bytes would be read as the next response.
 
 import (
 	"context"
@@ -13,6 +13,8 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync/atomic"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // minFinalStatus and maxFinalStatus are the first and the last status of a final response
@@ -36,6 +38,17 @@
 	return nil
 }
 
+// checkFields returns an error if the name of a field is no token (RFC 9112, section 5.1). Package
+// net/http takes names with blanks, also before the colon.
+func checkFields(header map[string][]string) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %q", ErrNoResponse, name)
+		}
+	}
+	return nil
+}
+
 // isInformational reports whether a status is that of an informational response. 101 is not,
 // since no request asks for another protocol.
 func isInformational(status int) bool {
@@ -108,6 +121,9 @@
 			if informational++; informational > maxInformational {
 				return fmt.Errorf("%w: more than %d informational responses", ErrNoResponse, maxInformational)
 			}
+			if err := checkFields(header); err != nil {
+				return err
+			}
 			// The transport has read the field Transfer-Encoding. A chunk is no head, so it fails.
 			return checkInformational(status, header.Get("Content-Length"), false)
 		},
@@ -116,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFinal(resp.StatusCode); err != nil {
+	if err := errors.Join(checkFinal(resp.StatusCode), checkFields(resp.Header)); err != nil {
 		_ = resp.Body.Close()
 		if c := conn.Load(); c != nil {
 			// The transport may keep the connection, since it takes the body for complete.
--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -143,6 +143,12 @@
 // writePart writes the bytes that a directive stands for.
 func writePart(w io.Writer, verb, argument string) error {
 	switch verb {
+	case "BYTE":
+		n, err := strconv.ParseUint(argument, 10, 8)
+		if err == nil {
+			_, err = w.Write([]byte{byte(n)})
+		}
+		return err
 	case "EVENT":
 		_, err := fmt.Fprintf(w, "id: %s\ndata: token %s\n\n", argument, argument)
 		return err
