savoryconn: a head of another major version than HTTP/1 is no response

Callers got the body of a response whose status line says HTTP/2.0 or HTTP/0.9 as an answer, with the worker's stamp. Found beside the field names: net/http takes any version of the form digit.digit, and frames the message as one of HTTP/1.1 or 1.0.

The check stands where a head becomes a response, in Client and in StrictTransport.

A test is kept for lines that the library reads in its own way and that reach nobody as a field: a continued line becomes one with a blank, as RFC 9112 (5.2) has it, and a trailer, whatever its names, is dropped.

--- a/savorycore/savoryconn/client.go
+++ b/savorycore/savoryconn/client.go
@@ -258,7 +258,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := checkFields(resp.Header); err != nil {
+		if err := checkHead(resp); err != nil {
 			return nil, err
 		}
 		if !isInformational(resp.StatusCode) {
--- a/savorycore/savoryconn/status.go
+++ b/savorycore/savoryconn/status.go
@@ -49,6 +49,15 @@
 	return nil
 }
 
+// checkHead returns an error if a head is that of another protocol than HTTP/1, or if the name of a
+// field is no token.
+func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %q", ErrNoResponse, resp.Proto)
+	}
+	return checkFields(resp.Header)
+}
+
 // isInformational reports whether a status is that of an informational response. 101 is not,
 // since no request asks for another protocol.
 func isInformational(status int) bool {
@@ -132,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := errors.Join(checkFinal(resp.StatusCode), checkFields(resp.Header)); err != nil {
+	if err := errors.Join(checkHead(resp), checkFinal(resp.StatusCode)); err != nil {
 		_ = resp.Body.Close()
 		if c := conn.Load(); c != nil {
 			// The transport may keep the connection, since it takes the body for complete.
--- a/savorycore/savoryconn/status_test.go
+++ b/savorycore/savoryconn/status_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -49,3 +50,20 @@
 		}
 	}
 }
+
+// Guards against a line that continues a field, or a field of a trailer, that is passed on as a field of its
+// own: a continued field is one line (RFC 9112, section 5.2), a trailer is dropped.
+func TestLinesThatAreNoFields(t *testing.T) {
+	for text, want := range map[string]string{
+		"X: a\r\n Content-Length: 3\r\nContent-Length: 5\r\n\r\nhello":                        "a Content-Length: 3",
+		"X: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nY: b\r\nX A: b\r\n\r\n": "a",
+	} {
+		is := is.New(t)
+		to := serve(t, func(c net.Conn, br *bufio.Reader) { respond(br, c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+text) })
+		body, response, err := send(&Client{DialTimeout: time.Second}, to, "1")
+		is.NoErr(err)
+		is.Equal(body, "hello")
+		response.Header.Del("Content-Length")
+		is.Equal(response.Header, http.Header{"Id": {"1"}, "X": {want}})
+	}
+}
