Known red: a transfer coding in a response of HTTP/1.0

Found while weighing what net/http's reader takes against RFC 9112: it deletes the field Transfer-Encoding of a message of HTTP/1.0 and reads the body until the end of the connection, so callers get the chunks as a body.

--- a/savorycore/savoryconn/status_test.go
+++ b/savorycore/savoryconn/status_test.go
@@ -67,3 +67,15 @@
 		is.Equal(response.Header, http.Header{"Id": {"1"}, "X": {want}})
 	}
 }
+
+// Guards against the bytes of chunks that are read as a body: a transfer coding in a message of HTTP/1.0 is
+// faulty framing (RFC 9112, section 6.1).
+func TestTransferCodingInHTTP10(t *testing.T) {
+	is := is.New(t)
+	to := serve(t, func(c net.Conn, br *bufio.Reader) {
+		respond(br, c, "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+		_ = c.Close()
+	})
+	_, _, err := send(&Client{DialTimeout: time.Second}, to, "1")
+	is.True(err != nil)
+}
