--- a/savorycore/savoryconn/status.go
+++ b/savorycore/savoryconn/status.go
@@ -104,7 +104,8 @@
 		base = new(http.Transport) // replaced by a test
 	}
 	base = base.Clone()
-	base.MaxResponseHeaderBytes = maxHeadBytes
+	// StrictTransport reads heads of HTTP/1 only.
+	base.ForceAttemptHTTP2, base.MaxResponseHeaderBytes = false, maxHeadBytes
 	return NewStrictTransport(base)
 }
 
@@ -122,7 +123,7 @@
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if c, ok := (*conn.Load()).(*requestConn); ok {
-				c.endRequest(nil) // It knows the error of its own writes.
+				c.endRequest(nil) // Write has recorded an error.
 			}
 		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
--- a/savorycore/savoryconn/status_test.go
+++ b/savorycore/savoryconn/status_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,3 +83,21 @@
 	_, _, err := send(&Client{DialTimeout: time.Second}, to, "1")
 	is.True(err != nil)
 }
+
+// Guards against a call over TLS that fails because both ends could speak HTTP/2.
+func TestDefaultTransportOverTLS(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	transport := DefaultTransport()
+	transport.base.TLSClientConfig = &tls.Config{RootCAs: x509.NewCertPool()}
+	transport.base.TLSClientConfig.RootCAs.AddCert(server.Certificate())
+	req, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader("body"))
+	is.NoErr(err)
+	resp, err := transport.RoundTrip(req)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.NoErr(resp.Body.Close())
+}
