savoryconn: a response is not whole if its server closed the connection before it received the request

Callers got 200 with a part of the body as a complete response when a server read a part of an upload, answered without a length and closed the connection at a moment at which nothing unread stood in its socket (MIXED).

Cause: such a close sends the end of the connection first and a reset only when more of the request arrives. The rest of a request of some 100 KB stands in the kernel by then, so its writer has ended without an error, and the reader has seen the end.

Fix: the end of a connection also waits until the server's kernel has acknowledged the whole request (SIOCOUTQ). If the connection is reset before (SO_ERROR), it ends with an error. The bound stays 300 ms; a server that has ended its side and leaves the connection open for so long is sound. Where the request is acknowledged, as nearly always, the end costs one call of the kernel.

--- a/savorycore/savoryconn/request.go
+++ b/savorycore/savoryconn/request.go
@@ -2,7 +2,8 @@
 
 // This file tells a connection that its server has reset from one that it has ended. The kernel reports
 // a reset only once: if the writer of a request gets the error, the reader of the response sees the
-// end of the connection, which is also the end of a response without a length.
+// end of the connection, which is also the end of a response without a length. The reader sees it as
+// well if the server closed the connection and resets it when more of the request arrives.
 
 import (
 	"errors"
@@ -10,7 +11,10 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // halfCloseTime is how long the end of a connection is doubted while the request is still being
@@ -18,6 +22,10 @@
 // and the kernel sends a lost packet again within this time.
 const halfCloseTime = 300 * time.Millisecond
 
+// minUnsentPause is the first pause between two looks at what the server has received; each further one is
+// twice as long.
+const minUnsentPause = 100 * time.Microsecond
+
 // requestConn is a connection on which one request is sent at a time. If the server resets it before
 // it has received the whole request, a response that has begun ends with io.ErrUnexpectedEOF. A server
 // may also respond early and end only its side of the connection (RFC 9112, section 9.6): it then
@@ -91,18 +99,60 @@
 	return n, err
 }
 
-// wasReset reports whether a connection that has ended was reset while the current request was
-// being written. It waits until the request is written, but not longer than halfCloseTime.
+// wasReset reports whether a connection that has ended was reset before the server had received the
+// current request. It waits until the request is written and received, but not longer than halfCloseTime.
 func (c *requestConn) wasReset(sent <-chan struct{}) bool {
-	if err := c.SetWriteDeadline(time.Now().Add(halfCloseTime)); err != nil {
+	end := time.Now().Add(halfCloseTime)
+	if err := c.SetWriteDeadline(end); err != nil {
 		return true // closed
 	}
 	<-sent
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded)
+	writeErr := c.writeErr
+	c.mu.Unlock()
+	if writeErr != nil {
+		return !errors.Is(writeErr, os.ErrDeadlineExceeded)
+	}
+	for pause := minUnsentPause; ; pause *= 2 {
+		unsent, err := c.unsent()
+		if err != nil {
+			c.endRequest(err)
+			return true
+		}
+		if unsent == 0 || time.Now().After(end) {
+			return false
+		}
+		time.Sleep(min(pause, time.Until(end)))
+	}
+}
+
+// unsent returns the number of written bytes that the kernel of the server has not acknowledged, 0 if it is
+// not known. The error is that of a connection that was reset before that, or is closed.
+func (c *requestConn) unsent() (int, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	var reset error
+	err = raw.Control(func(fd uintptr) {
+		var ioctlErr error
+		if n, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr != nil || n <= 0 {
+			n = 0
+			return
+		}
+		// Neither the reader nor the writer has got the error of a reset.
+		if code, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil && code != 0 {
+			reset = syscall.Errno(code)
+		}
+	})
+	return n, errors.Join(err, reset)
 }
 
 func isClosed(c <-chan struct{}) bool {
--- a/savorycore/savoryraw/raw.go
+++ b/savorycore/savoryraw/raw.go
@@ -70,6 +70,27 @@
 // and does not reset it.
 func (r Response) Whole() bool { return strings.Contains(r.text, "<END>") }
 
+// ReadFirst reads as much of the body of a request as a server that sends a response of early.txt
+// reads before it.
+func (r Response) ReadFirst(body io.Reader) error {
+	text, found := strings.CutPrefix(r.text, readFirst)
+	if !found {
+		return nil
+	}
+	count, _, _ := strings.Cut(text, ">")
+	n, err := strconv.ParseInt(count, 10, 64)
+	if err == nil {
+		_, err = io.CopyN(io.Discard, body, n)
+	}
+	if err != nil {
+		return fmt.Errorf("response %q: %w", r.Name, err)
+	}
+	return nil
+}
+
+// readFirst begins the directive of ReadFirst.
+const readFirst = "<READ "
+
 // Endless reports whether the response has no end.
 func (r Response) Endless() bool { return strings.Contains(r.text, "<ENDLESS ") }
 
@@ -87,6 +108,9 @@
 // side of it.
 func (r Response) Write(w io.Writer, fields string) error {
 	text := strings.ReplaceAll(strings.ReplaceAll(r.text, "FIELDS", fields), "<CR>", "\r")
+	if strings.HasPrefix(text, readFirst) {
+		_, text, _ = strings.Cut(text, ">")
+	}
 	for text != "" {
 		before, rest, found := strings.Cut(text, "<")
 		if before != "" { // An empty write fails after <END>.
@@ -252,10 +276,13 @@
 	if err != nil {
 		return
 	}
-	if !s.Early {
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
+	if s.Early {
+		err = s.Response.ReadFirst(req.Body)
+	} else {
+		_, err = io.Copy(io.Discard, req.Body)
+	}
+	if err != nil {
+		return
 	}
 	// The client closes the connection of a response without end.
 	_ = s.Response.Write(&countingConn{TCPConn: c, n: &s.written}, s.Fields)
