--- a/savorycore/savoryconn/request.go
+++ b/savorycore/savoryconn/request.go
@@ -17,9 +17,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// halfCloseTime is how long the end of a connection is doubted while the request is still being
-// written. A server that has closed the connection resets it when it receives more of the request,
-// and the kernel sends a lost packet again within this time.
+// halfCloseTime is how long the end of a connection is doubted while the server has not received the
+// whole request. A server that has closed the connection resets it when it receives more of the
+// request, and the kernel sends a lost packet again within this time.
 const halfCloseTime = 300 * time.Millisecond
 
 // minUnsentPause is the first pause between two looks at what the server has received; each further one is
@@ -27,9 +27,9 @@
 const minUnsentPause = 100 * time.Microsecond
 
 // requestConn is a connection on which one request is sent at a time. If the server resets it before
-// it has received the whole request, a response that has begun ends with io.ErrUnexpectedEOF. A server
-// may also respond early and end only its side of the connection (RFC 9112, section 9.6): it then
-// receives the rest of the request, or leaves the connection open.
+// it has received the whole request, a response that has begun ends with io.ErrUnexpectedEOF instead of
+// io.EOF. A sound server may respond early and end only its side of the connection (RFC 9112, section
+// 9.6): it then receives the rest of the request, or leaves the connection open.
 type requestConn struct {
 	net.Conn
 	// writing is held during a write.
@@ -40,7 +40,7 @@
 	sent chan struct{}
 	// answered is set once bytes have arrived since the current request began.
 	answered bool
-	// writeErr is the first error of a write.
+	// writeErr is the first error of a write, or that of a reset which was found later.
 	writeErr error
 }
 
