savoryvmlist: the client of the VM list keeps net/http's transport

Cause: the stand-in engines forward steps over http.DefaultTransport, and never drop a silent connection.

--- a/savorycore/savoryvmlist/list.go
+++ b/savorycore/savoryvmlist/list.go
@@ -15,7 +15,6 @@
 	"net/url"
 	"time"
 
-	"savorycart.example/savorycore/savoryconn"
 	"savorycart.example/savorycore/savoryworld"
 )
 
@@ -30,9 +29,6 @@
 	RoleWorker = "worker"
 )
 
-// httpClient carries the reads of all clients.
-var httpClient = &http.Client{Transport: savoryconn.DefaultTransport()}
-
 // Group is a set of targets with the same labels.
 type Group struct {
 	// Targets are addresses with ports.
@@ -109,6 +105,7 @@
 	// left out since they cannot be read.
 	OnInvalid func(error)
 
+	client http.Client
 	// etag is the ETag of lastVMs; empty before the first read or if the platform
 	// sends none.
 	etag    string
@@ -161,9 +158,9 @@
 	if c.etag != "" {
 		req.Header.Set("If-None-Match", c.etag)
 	}
-	resp, err := httpClient.Do(req)
+	resp, err := c.client.Do(req)
 	if err != nil {
-		httpClient.CloseIdleConnections()
+		c.client.CloseIdleConnections()
 		return nil, fmt.Errorf("reading VM list: %w", err)
 	}
 	defer resp.Body.Close()
