A response without its server's signature is no answer

Cause: the entry asked of a head only that it carries the request's ID. Everything else in it was believed one by one (status in three places, notices in a fourth), the signature nowhere: the adapter knew its name only for writing.

Change: savoryanswer decides what an answer is, by status, IDs, signatures, coding and the statement that the request did not run. Gate's exchange is the only reader of heads and asks it before anything is believed; plain requests, HEAD, streams and continued streams go through it. A head that is no answer is an error of a request that may have run, and its connection is closed. Log line "response dropped", counter savorycart_dropped_responses_total by reason.

--- a/savoryentry/savorygate/call.go
+++ b/savoryentry/savorygate/call.go
@@ -111,6 +111,8 @@
 	// sends is the number of times that the request was sent to backend
 	// servers.
 	sends int
+	// dropped is the response that the last send has dropped, until it is logged.
+	dropped *droppedResponse
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 	// headerWritten is set once the header of the response is written to the
--- a/savoryentry/savorygate/dialect.go
+++ b/savoryentry/savorygate/dialect.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"time"
 
+	"savorycart.example/savorycore/savoryanswer"
 	"savorycart.example/savorycore/savorynotice"
 	"savorycart.example/savorycore/savorypath"
 	"savorycart.example/savorycore/savoryroster"
@@ -66,10 +67,9 @@
 }
 
 // ResponseInfo is what the status and header of a backend server's response
-// state about the request.
+// state about the request. Nothing of it is true unless Check returns nil.
 type ResponseInfo struct {
-	// NotRun is set if the server promises that it did not run the request.
-	NotRun bool
+	savoryanswer.Head
 	// Fault is the address of the server of the chain that is at fault; it is
 	// invalid if no server is named.
 	Fault netip.AddrPort
--- a/savoryentry/savorygate/metrics.go
+++ b/savoryentry/savorygate/metrics.go
@@ -38,6 +38,7 @@
 	promptParts      *prometheus.GaugeVec
 	pacedServers     *prometheus.GaugeVec
 	steeredRequests  *prometheus.CounterVec
+	droppedResponses *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	heldBytes        prometheus.Gauge
 	connections      prometheus.Gauge
@@ -91,16 +92,17 @@
 		pacedServers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: metricsPrefix, Name: "paced_servers", Help: "Backend servers by the state of their pace at this entry.",
 		}, []string{"state"}),
-		steeredRequests: newCounterVec("paced_requests_total", "Requests that went elsewhere because a server was beyond its allowance, by kind of server.", "kind"),
-		refusals:        newCounterVec("caller_refusals_total", "Callers that were refused, or whose connection was closed, to bound memory and connections.", "cause"),
-		heldBytes:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_bytes", Help: "Bytes of heads and bodies in progress."}),
-		connections:     prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_connections", Help: "Open connections of callers."}),
+		steeredRequests:  newCounterVec("paced_requests_total", "Requests that went elsewhere because a server was beyond its allowance, by kind of server.", "kind"),
+		droppedResponses: newCounterVec("dropped_responses_total", "Responses of servers that were no answers, by what was wrong with the head.", "reason"),
+		refusals:         newCounterVec("caller_refusals_total", "Callers that were refused, or whose connection was closed, to bound memory and connections.", "cause"),
+		heldBytes:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_bytes", Help: "Bytes of heads and bodies in progress."}),
+		connections:      prometheus.NewGauge(prometheus.GaugeOpts{Namespace: metricsPrefix, Name: "caller_connections", Help: "Open connections of callers."}),
 		logDropped: prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: metricsPrefix, Name: "log_lines_dropped_total", Help: "Log lines that were dropped.",
 		}, func() float64 { return float64(dropped()) }),
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.firstEvent, m.eventGap, m.missedObjectives, m.inFlight, m.retries, m.storeCalls, m.storeReceived, m.peerCalls, m.syncDuration, m.timerDelay, m.orders,
-		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.memoryWaits, m.promptParts, m.pacedServers, m.steeredRequests, m.refusals, m.heldBytes, m.connections, m.logDropped, collectors.NewGoCollector())
+		m.dials, m.version, m.configAge, m.listAge, m.servers, m.serverEnds, m.notices, m.noticeWait, m.memoryWaits, m.promptParts, m.pacedServers, m.steeredRequests, m.droppedResponses, m.refusals, m.heldBytes, m.connections, m.logDropped, collectors.NewGoCollector())
 	return m
 }
 
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -80,7 +80,9 @@
 		case !serverGone(res.err):
 			refusals++
 		}
-		if c.ended() || !c.shouldRetry(res, runs, refusals) {
+		again := !c.ended() && c.shouldRetry(res, runs, refusals)
+		c.logDropped(again)
+		if !again {
 			c.finishPlain(res, refusals > 0)
 			return
 		}
@@ -233,13 +235,11 @@
 	c.g.recordSend(c.service.Name, c.sends)
 	sentAt := c.g.now()
 	c.recordSent(sentAt)
-	response, err := c.g.serverClient.Do(ctx, choice.server.Address, req)
+	response, info, err := c.exchange(ctx, id, choice.server.Address, sentAt, req)
 	if err != nil {
 		cancel()
 		return c.failedSend(id, err)
 	}
-	info := c.g.Dialect.ReadResponse(response.StatusCode, response.Header)
-	c.g.observeResponse(id, sentAt, info)
 	res := plainResult{response: response, server: id, verdict: savoryverdict.Ran}
 	err = c.readStart(&res)
 	if info.NotRun {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -148,7 +148,9 @@
 		if a.verdict == savoryverdict.NotRun {
 			s.returnTrial()
 		}
-		if !s.mayContinue(a) {
+		again := s.mayContinue(a)
+		s.logDropped(again)
+		if !again {
 			s.finishFailed(a)
 			return
 		}
@@ -448,14 +450,12 @@
 	a.attemptSentAt = sentAt
 	a.recordSent(sentAt)
 	a.recordGapCause(gapResent)
-	response, err := a.g.serverClient.Do(ctx, first.Address, req)
+	response, info, err := a.exchange(ctx, first.Server, first.Address, sentAt, req)
 	if err != nil {
 		a.recordError(ctx, err)
 		return
 	}
 	a.response = response
-	info := a.g.Dialect.ReadResponse(response.StatusCode, response.Header)
-	a.g.observeResponse(first.Server, sentAt, info)
 	if response.StatusCode != http.StatusOK {
 		a.readRefusal(info)
 		return
