An engine that spoils many of its heads is passed over for a moment

What callers saw, in a test of the commit before: of 180 streams 4 to 6 got 502 while one of four engines spoiled every other head. Cause: a dropped head excluded the engine from this stream only, so new streams went on to choose it, and each took a retry until the budget was used up ("request not sent again", reason "retry budget used up").

Change: Health.RecordDropped avoids a server for the time of a refusal if it spoils more than one of five responses, as many as the usual retry budget bears. It doesn't count as failing, so the orderer moves no layers because of it, and an engine that spoils one response in fifty or ten isn't avoided at all. Avoided after each dropped head, as tried first, streams were refused 503 while all first engines were avoided (seen once, beside load). Plain servers keep the backoff of a truncated answer: they are only chosen last, and one that spoils all answers costs orders that can't be repeated.

--- a/savorycore/savoryroster/health.go
+++ b/savorycore/savoryroster/health.go
@@ -12,6 +12,8 @@
 	// failureCountTTL is the time without a failure after which the count of failures
 	// restarts at 0.
 	failureCountTTL = 10 * time.Second
+	// answersPerDrop is the number of answers for which the usual retry budget of 0.2 has one retry.
+	answersPerDrop = 5
 )
 
 const (
@@ -38,6 +40,10 @@
 	reportedAt time.Time
 	// refusedUntil is until when a server that refused work is avoided.
 	refusedUntil time.Time
+	// dropped is set once a response of the server was dropped, and answers is the number of its
+	// answers since the last one.
+	dropped bool
+	answers int
 }
 
 // state returns the state of a server and adds it if there is none.
@@ -60,6 +66,17 @@
 	return s.refusedUntil
 }
 
+// RecordDropped records that a response of the server was dropped, because it was no answer. A server
+// that spoils few of its responses is not avoided, since it serves most requests. One that spoils more
+// than one of answersPerDrop is, like one that refuses work.
+func (h *Health) RecordDropped(id string, now time.Time) {
+	s := h.state(id)
+	if s.dropped && s.answers < answersPerDrop {
+		h.RecordRefusal(id, now)
+	}
+	s.dropped, s.answers = true, 0
+}
+
 // RecordFailure records a failure and returns the time until which the server is
 // avoided.
 func (h *Health) RecordFailure(id string, now time.Time) time.Time {
@@ -101,6 +118,7 @@
 func (h *Health) RecordSuccess(id string) {
 	if s := h.states[id]; s != nil {
 		s.until, s.reportedAt, s.refusedUntil = time.Time{}, time.Time{}, time.Time{}
+		s.answers++
 	}
 }
 
--- a/savorycore/savoryroster/roster_test.go
+++ b/savorycore/savoryroster/roster_test.go
@@ -195,6 +195,28 @@
 	is.True(h.Failing("a", begin.Add(5*time.Second)))
 }
 
+// Guards against an engine that is avoided, or whose layers are placed elsewhere, because it spoils one
+// response in fifty or in ten, and against one that uses up the retry budget since it spoils every other.
+func TestServerThatSpoilsFewResponsesIsNotAvoided(t *testing.T) {
+	for _, c := range []struct{ answersPerDrop, avoided int }{{49, 0}, {9, 0}, {answersPerDrop, 0}, {answersPerDrop - 1, 9}, {1, 9}, {0, 9}} {
+		is := is.New(t)
+		var h Health
+		avoided := 0
+		for i := range 10 {
+			now := time.Unix(int64(i), 0)
+			h.RecordDropped("s", now)
+			if h.Avoided("s", now) {
+				avoided++
+			}
+			is.True(!h.Failing("s", now)) // it holds its layers
+			for range c.answersPerDrop {
+				h.RecordSuccess("s")
+			}
+		}
+		is.Equal(avoided, c.avoided) // with c.answersPerDrop answers for each dropped response
+	}
+}
+
 // Guards against a list of a service that is older than the last change of a server: a leaving
 // engine, or one without its layers, would get requests.
 func TestAvailableFollowsChanges(t *testing.T) {
--- a/savoryentry/savorygate/failure.go
+++ b/savoryentry/savorygate/failure.go
@@ -23,6 +23,13 @@
 	a.recordError(ctx, err)
 }
 
+// recordDropped records a response that was no answer of the engine. The engine runs its layers for
+// other chains as before, so the orderer moves nothing because of it.
+func (a *attempt) recordDropped(ctx context.Context, err error) {
+	a.g.view.recordDropped(a.chain[0].Server, a.g.now())
+	a.recordError(ctx, err)
+}
+
 // recordError records an error of the chain, and excludes the engine at fault
 // from further chains.
 func (a *attempt) recordError(ctx context.Context, err error) {
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -451,7 +451,11 @@
 	a.recordSent(sentAt)
 	a.recordGapCause(gapResent)
 	response, info, err := a.exchange(ctx, first.Server, first.Address, sentAt, req)
-	if err != nil {
+	switch {
+	case a.dropped != nil:
+		a.recordDropped(ctx, err)
+		return
+	case err != nil:
 		a.recordError(ctx, err)
 		return
 	}
--- a/savoryentry/savorygate/view.go
+++ b/savoryentry/savorygate/view.go
@@ -300,6 +300,13 @@
 	return first
 }
 
+// recordDropped records that a response of a server was dropped.
+func (v *view) recordDropped(id string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.health.RecordDropped(id, now)
+}
+
 // recordPeerFailure records a server failure that a peer reported. It returns
 // false if the server is avoided already or had a heartbeat since.
 func (v *view) recordPeerFailure(id string, at time.Time) bool {
