A dropped head counts as a begun response in the log and as evidence

The line "chain failed" of a dropped head said headArrived=false, and a server that ended after it was recorded as one that had not begun its answer. TestDroppedHeadIsLogged asks for headArrived=true.

--- a/savoryentry/savorygate/failure.go
+++ b/savoryentry/savorygate/failure.go
@@ -54,7 +54,7 @@
 	}
 	a.log.WithError(err).WithFields(log.Fields{
 		"path": a.watch.currentChain().String(), "events": a.eventCount, "sinceEventMs": a.g.now().Sub(a.lastEventAt).Milliseconds(), "verdict": string(a.verdict),
-		"headArrived": a.response != nil, "parts": strings.Join(a.caller.PromptParts, ","),
+		"headArrived": a.headArrived(), "parts": strings.Join(a.caller.PromptParts, ","),
 	}).Info("chain failed")
 	a.checkEnded()
 	switch {
--- a/savoryentry/savorygate/plain.go
+++ b/savoryentry/savorygate/plain.go
@@ -47,7 +47,7 @@
 	// verdict is NotRun only if the server did not run the request.
 	verdict savoryverdict.Verdict
 	server  string
-	// begun is set if the server had begun a response that broke off.
+	// begun is set if the server had begun a response, which broke off or was dropped.
 	begun bool
 }
 
@@ -283,7 +283,7 @@
 		c.g.view.unsent(id)
 	}
 	c.recordFailure(id, err)
-	return plainResult{err: err, verdict: verdict, server: id}
+	return plainResult{err: err, verdict: verdict, server: id, begun: c.dropped != nil}
 }
 
 // readStart reads the beginning of the response's body, or all of it if it is not large. An
--- a/savoryentry/savorygate/resend.go
+++ b/savoryentry/savorygate/resend.go
@@ -106,7 +106,7 @@
 		return
 	}
 	first := a.chain[0]
-	begun := a.response != nil
+	begun := a.headArrived()
 	check := func() { a.g.checkEnded(a.log, a.prompt, first.Server, first.Address, begun, a.recordEnded) }
 	if errors.Is(a.err, errStalled) {
 		// A silent engine answers the check late, and the stream is sent on meanwhile.
--- a/savoryentry/savorygate/stream.go
+++ b/savoryentry/savorygate/stream.go
@@ -418,6 +418,9 @@
 	return a.refusal.response != nil && a.refusal.err == nil && a.verdict != savoryverdict.NotRun && !promisesNotRun(a.response.StatusCode)
 }
 
+// headArrived reports whether the engine sent the head of a response, also if it was dropped.
+func (a *attempt) headArrived() bool { return a.response != nil || a.dropped != nil }
+
 func (a *attempt) closeResponse() {
 	if a.response != nil {
 		_ = a.response.Close()
