savorygate: the first entry repeats a failed reading of the store

What callers saw: after an outage of the store of 0.7 s, all three entries of a zone answered a revoked key with 503 in place of 401 for a moment, as their configuration had not been confirmed for 2 s; a version written then would have been in force late.

Cause: the entry that reads the store leaves the ranking of readers with its first failed call. If the outage ends between that and another entry's reading of a stale list of servers, the list is handed on and fresh everywhere, and nobody has a reason to read the configuration until it is stale again (0.55 of DrainTime).

Change: the first live entry repeats a failed reading after the delay of failed calls until one succeeds. Others read as before, so that an outage costs the store at most one more caller; the spacing of large readings over slow links stays.

TestFirstEntryRepeatsFailedReading: 1 reading of 2 before, passes now.

--- a/savoryentry/savorygate/follow.go
+++ b/savoryentry/savorygate/follow.go
@@ -91,26 +91,34 @@
 
 // pollStore calls read at the interval of the readings while this entry is the
 // reader, its list is stale, it has no configuration or urgent returns true. Failed
-// readings back off, since every entry reads while the store is unreachable. An entry that
-// passes nothing on spaces readings for which read returns a transfer.
+// readings back off, since every entry reads while the store is unreachable; the first
+// entry repeats them until one succeeds, since it is not the reader until then, and the
+// others may leave the store to it. An entry that passes nothing on spaces readings for
+// which read returns a transfer.
 func (g *Gate) pollStore(read func() (*transfer, error), urgent func(time.Time) bool) error {
 	var readAt time.Time
 	var last *transfer
+	var failed error
 	delay := storeRetryDelay
 	for g.alive() {
 		now := g.now()
 		interval := time.Duration(listIntervalFraction * float64(g.Settings().DrainTime))
 		reader := g.relay.storeRank(now) < maxStoreReaders
+		repeats := failed != nil && g.relay.isFirst(now)
+		if repeats {
+			interval = 0 // it has waited for delay
+		}
 		if last != nil && (!reader || g.relay.liveCount(now) == 1) {
 			interval = readingInterval(interval, last.received, last.took(), g.Settings().ConfigTime)
 		}
-		needed := reader || g.listAge() > g.staleListAge() || g.table.Load() == nil || urgent(now)
+		needed := reader || repeats || g.lacksUpdates() || urgent(now)
 		if now.Sub(readAt) < interval || !needed || g.deferToFirstReader(now) {
 			g.sleep(pollInterval / 2)
 			continue
 		}
 		readAt = now
 		t, err := read()
+		failed = err
 		if err != nil {
 			g.sleep(delay)
 			delay = min(2*delay, maxStoreRetryDelay)
@@ -121,6 +129,11 @@
 	return nil
 }
 
+// lacksUpdates reports whether the list is stale or there is no configuration.
+func (g *Gate) lacksUpdates() bool {
+	return g.listAge() > g.staleListAge() || g.table.Load() == nil
+}
+
 // deferToFirstReader reports whether the whole system has just started and another
 // entry reads the store first, which then passes its readings on to this one.
 func (g *Gate) deferToFirstReader(now time.Time) bool {
--- /dev/null
+++ b/savoryentry/savorygate/follow_test.go
@@ -0,0 +1,73 @@
+package savorygate
+
+// This file tests when an entry reads the store.
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"savorycart.example/savorycore/savorypeer"
+	"savorycart.example/savorycore/savoryroster"
+	"savorycart.example/savorycore/savorystore"
+)
+
+// Pattern: the store is away for a moment, in which the entry that reads it fails to read the
+// configuration; another entry then reads the list of servers and passes it on. Guards against a
+// configuration that nobody reads until the list is stale: the failed entry is no reader, as it
+// has not reached the store, and entries that are not the first leave the store to it.
+func TestFirstEntryRepeatsFailedReading(t *testing.T) {
+	const (
+		drainTime = 20 * time.Second // the list is stale after 11 s
+		patience  = 4 * storeRetryDelay
+	)
+	for _, tt := range []struct {
+		name  string
+		entry int
+		want  int // readings
+	}{
+		{name: "the first entry of its zone", entry: 0, want: 2},
+		{name: "another entry", entry: 1, want: 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			self := zoneEntry(0, tt.entry)
+			g := newPreparedGate(t, &Settings{Zone: self.Zone, Peers: self.Address, Strength: self.Strength, DrainTime: drainTime, ConfigTime: 2 * time.Second})
+			for i := range maxMeshEntriesPerZone + 1 {
+				e := zoneEntry(0, i)
+				g.relay.addEntries([]savorypeer.Entry{e}, g.now())
+				g.relay.recordState(&savorypeer.SyncState{From: e, StoreWorks: i != 0}, g.now())
+			}
+			urgent := make(chan bool, 1)
+			urgent <- true // the entry reads once, whichever it is
+			readings := make(chan time.Time, 10)
+			g.Store.Get = func(context.Context, string) (savorystore.Value, error) {
+				readings <- time.Now()
+				// Another entry's list arrives.
+				l := &savoryroster.Listing{Revision: 5, Servers: []savoryroster.Server{{ID: "e", Service: "s", Address: self.Address, Born: g.now(), Beat: 1}}}
+				g.applyList(l, reading{id: 8, at: g.bootNow()}, "peer")
+				if len(readings) == 1 {
+					return savorystore.Value{}, errNoAnswer
+				}
+				return savorystore.Value{}, nil
+			}
+			g.tomb.Go(func() error {
+				return g.pollStore(g.readConfig, func(time.Time) bool {
+					select {
+					case <-urgent:
+						return true
+					default:
+						return false
+					}
+				})
+			})
+			time.Sleep(patience)
+			g.tomb.Kill(nil)
+			is.NoErr(g.tomb.Wait())
+			is.Equal(len(readings), tt.want)
+		})
+	}
+}
