--- a/savoryentry/savorygate/follow_test.go
+++ b/savoryentry/savorygate/follow_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,33 +42,21 @@
 				g.relay.addEntries([]savorypeer.Entry{e}, g.now())
 				g.relay.recordState(&savorypeer.SyncState{From: e, StoreWorks: i != 0}, g.now())
 			}
-			urgent := make(chan bool, 1)
-			urgent <- true // the entry reads once, whichever it is
-			readings := make(chan time.Time, 10)
+			var readings atomic.Int32 // the first one at once, as the entry has no list
 			g.Store.Get = func(context.Context, string) (savorystore.Value, error) {
-				readings <- time.Now()
 				// Another entry's list arrives.
 				l := &savoryroster.Listing{Revision: 5, Servers: []savoryroster.Server{{ID: "e", Service: "s", Address: self.Address, Born: g.now(), Beat: 1}}}
 				g.applyList(l, reading{id: 8, at: g.bootNow()}, "peer")
-				if len(readings) == 1 {
+				if readings.Add(1) == 1 {
 					return savorystore.Value{}, errNoAnswer
 				}
 				return savorystore.Value{}, nil
 			}
-			g.tomb.Go(func() error {
-				return g.pollStore(g.readConfig, func(time.Time) bool {
-					select {
-					case <-urgent:
-						return true
-					default:
-						return false
-					}
-				})
-			})
+			g.tomb.Go(g.followConfig)
 			time.Sleep(patience)
 			g.tomb.Kill(nil)
 			is.NoErr(g.tomb.Wait())
-			is.Equal(len(readings), tt.want)
+			is.Equal(int(readings.Load()), tt.want)
 		})
 	}
 }
